--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,211 @@
+package settings
+
+import (
+	"net"
+	"time"
+
+	"github.com/figlb/figlb/inifile"
+)
+
+// TLS names PEM files. CA, Cert and Key secure the connections between figlb's
+// processes, mutually; all three or none are set.
+type TLS struct {
+	CA   string `ini:"ca"`
+	Cert string `ini:"cert"`
+	Key  string `ini:"key"`
+	// CallerCert and CallerKey serve callers; entries only.
+	CallerCert string `ini:"caller_cert"`
+	CallerKey  string `ini:"caller_key"`
+}
+
+// Enabled reports whether connections between figlb's processes use TLS.
+func (t TLS) Enabled() bool { return t.CA != "" }
+
+// Trace tells where spans go.
+type Trace struct {
+	// Exporter is "otlpgrpc", "otlphttp", "file" or "none".
+	Exporter string  `ini:"exporter,oneof=otlpgrpc|otlphttp|file|none"`
+	Endpoint string  `ini:"endpoint"` // host:port, or the path of the file
+	Sampler  float64 `ini:"sampler,min=0"`
+}
+
+// Log configures the structured log on standard error.
+type Log struct {
+	Level string `ini:"level,oneof=debug|info|error"`
+}
+
+// Entry configures figlb-entry.
+type Entry struct {
+	ID     string   `ini:"id,required"`
+	Zone   string   `ini:"zone,required"`
+	Listen string   `ini:"listen,required"` // callers' address, ip:port
+	Admin  string   `ini:"admin,required"`  // health and metrics, ip:port
+	State  []string `ini:"state,required"`  // addresses of the state members
+	Groups int      `ini:"groups,min=1"`    // number of organisation groups of the site
+	// DrainNotice is the time between going unready and closing the listener, so that
+	// the balancer notices; DrainDeadline bounds the wait for requests in flight.
+	DrainNotice   time.Duration `ini:"drain_notice,min=0s"`
+	DrainDeadline time.Duration `ini:"drain_deadline,min=1s"`
+	// MaxBodyBytes bounds a request body. A history of 110,000 tokens is about half a
+	// megabyte of text and more as JSON.
+	MaxBodyBytes int64         `ini:"max_body_bytes,min=1024"`
+	BodyTimeout  time.Duration `ini:"body_timeout,min=100ms"`
+}
+
+// State configures figlb-state.
+type State struct {
+	ID     string `ini:"id,required"`
+	Zone   string `ini:"zone,required"`
+	Listen string `ini:"listen,required"` // ip:port, for members, entries and operators
+	Admin  string `ini:"admin,required"`  // health and metrics, ip:port
+	Data   string `ini:"data,required"`   // data folder
+	// Members lists all members as "id=ip:port".
+	Members []string `ini:"members,required"`
+	Groups  int      `ini:"groups,min=1"`
+	// ProgramIdle is the time after which an idle program expires; KeepEnded is how long
+	// ended programs and finished calls stay readable.
+	ProgramIdle time.Duration `ini:"program_idle,min=1s"`
+	KeepEnded   time.Duration `ini:"keep_ended,min=1s"`
+}
+
+// EntryFile is the settings file of figlb-entry.
+type EntryFile struct {
+	Entry Entry
+	TLS   TLS
+	Trace Trace
+	Log   Log
+}
+
+// StateFile is the settings file of figlb-state.
+type StateFile struct {
+	State State
+	TLS   TLS
+	Trace Trace
+	Log   Log
+}
+
+// Defaults.
+const (
+	DefaultGroups        = 4
+	defaultDrainNotice   = 2 * time.Second
+	defaultDrainDeadline = 60 * time.Second
+	defaultMaxBodyBytes  = 8 << 20
+	defaultBodyTimeout   = 10 * time.Second
+	defaultProgramIdle   = 24 * time.Hour
+	defaultKeepEnded     = time.Hour
+)
+
+// LoadEntry reads and checks the settings file of an entry.
+func LoadEntry(path string) (*EntryFile, error) {
+	f := &EntryFile{
+		Entry: Entry{
+			Groups:        DefaultGroups,
+			DrainNotice:   defaultDrainNotice,
+			DrainDeadline: defaultDrainDeadline,
+			MaxBodyBytes:  defaultMaxBodyBytes,
+			BodyTimeout:   defaultBodyTimeout,
+		},
+		Trace: defaultTrace(),
+		Log:   Log{Level: "info"},
+	}
+	err := load(path, map[string]any{"entry": &f.Entry, "tls": &f.TLS, "trace": &f.Trace, "log": &f.Log}, "entry",
+		func(s *inifile.Section) inifile.Problems {
+			ps := checkAddress(s, "listen", f.Entry.Listen)
+			ps = append(ps, checkAddress(s, "admin", f.Entry.Admin)...)
+			for _, a := range f.Entry.State {
+				ps = append(ps, checkAddress(s, "state", a)...)
+			}
+			return ps
+		})
+	return f, err
+}
+
+// LoadState reads and checks the settings file of a state member.
+func LoadState(path string) (*StateFile, error) {
+	f := &StateFile{
+		State: State{Groups: DefaultGroups, ProgramIdle: defaultProgramIdle, KeepEnded: defaultKeepEnded},
+		Trace: defaultTrace(),
+		Log:   Log{Level: "info"},
+	}
+	err := load(path, map[string]any{"state": &f.State, "tls": &f.TLS, "trace": &f.Trace, "log": &f.Log}, "state",
+		func(s *inifile.Section) inifile.Problems {
+			ps := checkAddress(s, "listen", f.State.Listen)
+			ps = append(ps, checkAddress(s, "admin", f.State.Admin)...)
+			return append(ps, checkMembers(s, f.State)...)
+		})
+	return f, err
+}
+
+func defaultTrace() Trace { return Trace{Exporter: "none", Sampler: 1} }
+
+func load(path string, targets map[string]any, main string, check func(*inifile.Section) inifile.Problems) error {
+	sections, ps, err := inifile.Load(path)
+	if err != nil {
+		return err
+	}
+	found := false
+	for _, s := range sections {
+		out, ok := targets[s.Kind]
+		if !ok || s.Name != "" {
+			ps = append(ps, s.Problem("", "section is unknown", "use ["+main+"], [tls], [trace] and [log] only"))
+			continue
+		}
+		ps = append(ps, inifile.Decode(s, out)...)
+		if s.Kind == main {
+			found = true
+			ps = append(ps, check(s)...)
+		}
+		if t, ok := out.(*TLS); ok {
+			ps = append(ps, checkTLS(s, t)...)
+		}
+	}
+	if !found {
+		ps = append(ps, inifile.Problem{File: path, Section: main, Message: "section is missing", Remedy: "add it"})
+	}
+	return ps.Err()
+}
+
+func checkAddress(s *inifile.Section, key, addr string) inifile.Problems {
+	if addr == "" {
+		return nil // reported as missing
+	}
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil || net.ParseIP(host) == nil {
+		return inifile.Problems{s.Problem(key, "address "+addr+" is not ip:port", "use an IP number and a port, for example 127.0.0.1:7001")}
+	}
+	return nil
+}
+
+func checkMembers(s *inifile.Section, st State) inifile.Problems {
+	var ps inifile.Problems
+	members, err := ParseMembers(st.Members)
+	if err != nil {
+		return inifile.Problems{s.Problem("members", err.Error(), "write id=ip:port, separated by commas")}
+	}
+	for _, m := range members {
+		ps = append(ps, checkAddress(s, "members", m.Address)...)
+	}
+	for _, m := range members {
+		if m.ID == st.ID {
+			return ps
+		}
+	}
+	return append(ps, s.Problem("members", "this member's id "+st.ID+" is not listed", "add it"))
+}
+
+func checkTLS(s *inifile.Section, t *TLS) inifile.Problems {
+	set := 0
+	for _, v := range []string{t.CA, t.Cert, t.Key} {
+		if v != "" {
+			set++
+		}
+	}
+	var ps inifile.Problems
+	if set != 0 && set != 3 {
+		ps = append(ps, s.Problem("", "ca, cert and key belong together", "set all three or none"))
+	}
+	if (t.CallerCert == "") != (t.CallerKey == "") {
+		ps = append(ps, s.Problem("", "caller_cert and caller_key belong together", "set both or none"))
+	}
+	return ps
+}
--- /dev/null
+++ b/structs/program.go
@@ -0,0 +1,292 @@
+package structs
+
+import (
+	"time"
+
+	"github.com/figlb/figlb/errs"
+)
+
+// OrgCommand is a log-applied write of an organisation's group. Exactly one of its
+// pointers is set.
+type OrgCommand struct {
+	// RequestID makes a resend return the first answer.
+	RequestID   string       `msgpack:"q"`
+	Org         string       `msgpack:"o"`
+	OpenProgram *OpenProgram `msgpack:"a,omitempty"`
+	EndProgram  *EndProgram  `msgpack:"b,omitempty"`
+	BeginTurn   *BeginTurn   `msgpack:"c,omitempty"`
+	FinishTurn  *FinishTurn  `msgpack:"d,omitempty"`
+	BeginCall   *BeginCall   `msgpack:"e,omitempty"`
+	FinishCall  *FinishCall  `msgpack:"f,omitempty"`
+	ResolveCall *ResolveCall `msgpack:"g,omitempty"`
+	Expire      *Expire      `msgpack:"h,omitempty"`
+	Released    *Released    `msgpack:"i,omitempty"`
+	Debit       *Debit       `msgpack:"j,omitempty"`
+}
+
+// Limits are an organisation's limits at a configuration revision. A state machine
+// uses the limits of the highest revision it has seen.
+type Limits struct {
+	Revision     uint64  `msgpack:"r"`
+	Rate         float64 `msgpack:"t"` // requests per second
+	Burst        int     `msgpack:"b"` // requests
+	BudgetTokens int64   `msgpack:"k"`
+	MaxTurns     int     `msgpack:"m"`
+}
+
+// ProgramState tells whether a program may go on.
+type ProgramState string
+
+// Program states.
+const (
+	ProgramOpen    ProgramState = "open"
+	ProgramEnded   ProgramState = "ended"
+	ProgramExpired ProgramState = "expired"
+)
+
+// Program is the record of a program without its turns.
+type Program struct {
+	ID     string `msgpack:"i" json:"id"`
+	Org    string `msgpack:"o" json:"organisation"`
+	Parent string `msgpack:"p,omitempty" json:"parent,omitempty"`
+	// Root is the program that holds the budget of the whole tree.
+	Root    string       `msgpack:"r" json:"root"`
+	Service string       `msgpack:"s" json:"service"`
+	State   ProgramState `msgpack:"t" json:"state"`
+	// Budget, Spent and Reserved are in tokens and kept on the root only.
+	Budget   int64 `msgpack:"b" json:"budget_tokens"`
+	Spent    int64 `msgpack:"e" json:"spent_tokens"`
+	Reserved int64 `msgpack:"v" json:"reserved_tokens"`
+	MaxTurns int   `msgpack:"m" json:"max_turns"`
+	// Turns is the number of the last turn begun; Answered that of the last answered.
+	Turns    int `msgpack:"n" json:"turns"`
+	Answered int `msgpack:"a" json:"answered"`
+	// Attained is the service received: generated tokens over all its turns.
+	Attained int64 `msgpack:"g" json:"attained_tokens"`
+	// ContextTokens is the engine's count for the whole history after the last turn.
+	ContextTokens int64         `msgpack:"c" json:"context_tokens"`
+	OpenedAt      time.Duration `msgpack:"d" json:"-"`
+	LastActive    time.Duration `msgpack:"l" json:"-"`
+	// Targets lists the targets that may hold KV cache for the program.
+	Targets []string `msgpack:"x,omitempty" json:"targets,omitempty"`
+}
+
+// TurnState is the state of a turn.
+type TurnState string
+
+// Turn states. A failed turn may be begun again under the same number.
+const (
+	TurnRunning  TurnState = "running"
+	TurnAnswered TurnState = "answered"
+	TurnFailed   TurnState = "failed"
+)
+
+// Turn is one call of a program.
+type Turn struct {
+	N       int       `msgpack:"n" json:"turn"`
+	State   TurnState `msgpack:"s" json:"state"`
+	Attempt int       `msgpack:"a" json:"attempt"`
+	// Digest is the hash of the caller's request for this turn.
+	Digest string `msgpack:"d" json:"digest"`
+	// Messages are the turn's new messages, Answer the assistant's message, as JSON.
+	Messages [][]byte `msgpack:"m" json:"-"`
+	Answer   []byte   `msgpack:"w,omitempty" json:"-"`
+	// FinishReason is the engine's, for example "stop" or "tool_calls".
+	FinishReason string      `msgpack:"f,omitempty" json:"finish_reason,omitempty"`
+	Usage        Usage       `msgpack:"u" json:"usage"`
+	Entry        string      `msgpack:"e" json:"-"` // incarnation of the entry that runs it
+	Reserved     int64       `msgpack:"r" json:"-"` // tokens
+	Failure      *errs.Error `msgpack:"x,omitempty" json:"failure,omitempty"`
+}
+
+// Usage counts tokens of one call.
+type Usage struct {
+	PromptTokens     int64 `msgpack:"p" json:"prompt_tokens"`
+	CompletionTokens int64 `msgpack:"c" json:"completion_tokens"`
+	CachedTokens     int64 `msgpack:"h" json:"cached_tokens"`
+}
+
+// Total returns the tokens that count against a budget.
+func (u Usage) Total() int64 { return u.PromptTokens + u.CompletionTokens }
+
+// OpenProgram creates a program.
+type OpenProgram struct {
+	ID           string `msgpack:"i"`
+	Parent       string `msgpack:"p,omitempty"`
+	Service      string `msgpack:"s"`
+	BudgetTokens int64  `msgpack:"b,omitempty"` // 0: the organisation's default
+	MaxTurns     int    `msgpack:"m,omitempty"` // 0: the organisation's default
+	Limits       Limits `msgpack:"l"`
+}
+
+// EndProgram ends a program and its sub-agents.
+type EndProgram struct {
+	ID string `msgpack:"i"`
+}
+
+// BeginTurn checks rate, order, turn cap and budget and records the intent to run a
+// turn.
+type BeginTurn struct {
+	Program string `msgpack:"p"`
+	// Implicit creates the program for a caller that names none; it ends with its turn.
+	Implicit bool     `msgpack:"i,omitempty"`
+	Service  string   `msgpack:"s"`
+	Turn     int      `msgpack:"n"` // 0: the next one
+	Digest   string   `msgpack:"d"`
+	Messages [][]byte `msgpack:"m"`
+	// MaxTokens is the most the caller wants generated; the reply may lower it.
+	MaxTokens int64  `msgpack:"k"`
+	Entry     string `msgpack:"e"` // incarnation
+	// LiveEntries lists incarnations that are alive; a running turn of another entry
+	// is taken over only if its entry is not among them.
+	LiveEntries []string `msgpack:"v,omitempty"`
+	Limits      Limits   `msgpack:"l"`
+	// KnownTurns is the number of turns whose history the entry has already.
+	KnownTurns int `msgpack:"h,omitempty"`
+}
+
+// BeginTurnReply answers BeginTurn.
+type BeginTurnReply struct {
+	Program Program `msgpack:"p"`
+	// Turn is the begun turn, or the recorded one if Recorded.
+	Turn Turn `msgpack:"t"`
+	// Recorded tells that the turn was answered before: nothing is run.
+	Recorded bool `msgpack:"r,omitempty"`
+	// History holds the messages and answers of the turns after KnownTurns, in order.
+	History [][]byte `msgpack:"h,omitempty"`
+	// MaxTokens is the most the engine may generate within the budget.
+	MaxTokens int64 `msgpack:"k"`
+}
+
+// FinishTurn records a turn's answer or its failure.
+type FinishTurn struct {
+	Program string `msgpack:"p"`
+	Turn    int    `msgpack:"n"`
+	Attempt int    `msgpack:"a"`
+	Answer  []byte `msgpack:"w,omitempty"`
+	// FinishReason is the engine's.
+	FinishReason string `msgpack:"f,omitempty"`
+	Usage        Usage  `msgpack:"u"`
+	// UsageKnown is false if the whole reservation must count.
+	UsageKnown bool        `msgpack:"k"`
+	Targets    []string    `msgpack:"t,omitempty"`
+	Failure    *errs.Error `msgpack:"x,omitempty"`
+}
+
+// TurnQuery reads a turn; Wait bounds how long to wait for a running one to finish.
+type TurnQuery struct {
+	Org     string        `msgpack:"o"`
+	Program string        `msgpack:"p"`
+	Turn    int           `msgpack:"n"`
+	Wait    time.Duration `msgpack:"w,omitempty"`
+}
+
+// ProgramQuery reads a program.
+type ProgramQuery struct {
+	Org     string `msgpack:"o"`
+	Program string `msgpack:"p"`
+}
+
+// CallState is the state of a non-repeatable call.
+type CallState string
+
+// Call states.
+const (
+	CallRunning  CallState = "running"
+	CallFinished CallState = "finished"
+	// CallUnknown: the entry died after it may have sent the call.
+	CallUnknown CallState = "unknown"
+	// CallNotRun: it is proved that the call has not been run.
+	CallNotRun CallState = "not_run"
+)
+
+// Call is the record of a call to a service that may not be repeated.
+type Call struct {
+	Key     string    `msgpack:"k" json:"key"`
+	Service string    `msgpack:"s" json:"service"`
+	Digest  string    `msgpack:"d" json:"digest"`
+	State   CallState `msgpack:"t" json:"state"`
+	Entry   string    `msgpack:"e" json:"-"`
+	// Target is the one the call was meant for, if known.
+	Target  string            `msgpack:"g,omitempty" json:"target,omitempty"`
+	Status  int               `msgpack:"c,omitempty" json:"status,omitempty"`
+	Header  map[string]string `msgpack:"h,omitempty" json:"header,omitempty"`
+	Body    []byte            `msgpack:"b,omitempty" json:"-"`
+	BegunAt time.Duration     `msgpack:"a" json:"-"`
+}
+
+// BeginCall records the intent to make a call. A call that was begun before is
+// returned as it stands and is not begun again, except one in state CallNotRun.
+type BeginCall struct {
+	Key         string   `msgpack:"k"`
+	Service     string   `msgpack:"s"`
+	Digest      string   `msgpack:"d"`
+	Entry       string   `msgpack:"e"`
+	LiveEntries []string `msgpack:"v,omitempty"`
+	Limits      Limits   `msgpack:"l"`
+}
+
+// BeginCallReply answers BeginCall.
+type BeginCallReply struct {
+	Call Call `msgpack:"c"`
+	// Begun tells that the caller of BeginCall, and nobody else, may dispatch.
+	Begun bool `msgpack:"b"`
+}
+
+// FinishCall records a call's outcome. State is CallFinished, CallUnknown or CallNotRun.
+type FinishCall struct {
+	Key    string            `msgpack:"k"`
+	Entry  string            `msgpack:"e"`
+	State  CallState         `msgpack:"t"`
+	Target string            `msgpack:"g,omitempty"`
+	Status int               `msgpack:"c,omitempty"`
+	Header map[string]string `msgpack:"h,omitempty"`
+	Body   []byte            `msgpack:"b,omitempty"`
+}
+
+// ResolveCall settles an unknown call after a look at the back end.
+type ResolveCall struct {
+	Key    string    `msgpack:"k"`
+	State  CallState `msgpack:"t"` // CallFinished or CallNotRun
+	Status int       `msgpack:"c,omitempty"`
+	Body   []byte    `msgpack:"b,omitempty"`
+}
+
+// CallQuery reads a call; Wait bounds how long to wait for a running one to finish.
+type CallQuery struct {
+	Org  string        `msgpack:"o"`
+	Key  string        `msgpack:"k"`
+	Wait time.Duration `msgpack:"w,omitempty"`
+}
+
+// Debit takes one request from the organisation's bucket for a repeatable plain call.
+type Debit struct {
+	Limits Limits `msgpack:"l"`
+}
+
+// Expire ends programs that have been idle for longer than Idle and drops records that
+// ended longer ago than Keep.
+type Expire struct {
+	Idle time.Duration `msgpack:"i"`
+	Keep time.Duration `msgpack:"k"`
+}
+
+// Release names engine memory to be freed: the KV cache of an ended program.
+type Release struct {
+	Program string `msgpack:"p"`
+	Target  string `msgpack:"t"`
+}
+
+// Released records releases that the engines have confirmed.
+type Released struct {
+	Releases []Release `msgpack:"r"`
+}
+
+// OrgReply answers an OrgCommand. Err is set for a refusal.
+type OrgReply struct {
+	Err       *errs.Error     `msgpack:"x,omitempty"`
+	Program   *Program        `msgpack:"p,omitempty"`
+	BeginTurn *BeginTurnReply `msgpack:"b,omitempty"`
+	BeginCall *BeginCallReply `msgpack:"c,omitempty"`
+	Call      *Call           `msgpack:"l,omitempty"`
+}
--- /dev/null
+++ b/structs/status.go
@@ -0,0 +1,31 @@
+package structs
+
+// MemberStatus describes one state member.
+type MemberStatus struct {
+	ID          string        `msgpack:"i" json:"id"`
+	Address     string        `msgpack:"a" json:"address"`
+	Zone        string        `msgpack:"z" json:"zone"`
+	Incarnation string        `msgpack:"n" json:"incarnation"`
+	Groups      []GroupStatus `msgpack:"g" json:"groups"`
+}
+
+// GroupStatus describes one group as one member sees it.
+type GroupStatus struct {
+	Group    uint32   `msgpack:"g" json:"group"`
+	Term     uint64   `msgpack:"t" json:"term"`
+	Leader   string   `msgpack:"l" json:"leader"`
+	Applied  uint64   `msgpack:"a" json:"applied"`
+	Voters   []string `msgpack:"v" json:"voters"`
+	Learners []string `msgpack:"e" json:"learners"`
+}
+
+// TargetStatus describes a target as its scheduler sees it.
+type TargetStatus struct {
+	Name     string `msgpack:"n" json:"name"`
+	Pool     string `msgpack:"p" json:"pool"`
+	Zone     string `msgpack:"z" json:"zone"`
+	State    string `msgpack:"s" json:"state"` // "warm", "cold", "down", "drained"
+	InUse    int    `msgpack:"u" json:"in_use"`
+	Limit    int    `msgpack:"l" json:"limit"`
+	Requests int64  `msgpack:"r" json:"requests"`
+}
--- /dev/null
+++ b/telemetry/admin.go
@@ -0,0 +1,55 @@
+package telemetry
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+const adminReadTimeout = 5 * time.Second
+
+// Admin serves /healthz, /readyz and /metrics on an address of its own.
+type Admin struct {
+	ln  net.Listener
+	srv *http.Server
+}
+
+// StartAdmin listens on addr. ready returns nil when the process takes work.
+func StartAdmin(addr string, registry metrics.Registry, ready func() error) (*Admin, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", addr)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", ReadyHandler(ready))
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(registry.GetAll())
+	})
+	a := &Admin{ln: ln, srv: &http.Server{Handler: mux, ReadTimeout: adminReadTimeout}}
+	go func() { _ = a.srv.Serve(ln) }()
+	return a, nil
+}
+
+// ReadyHandler answers 200 when ready returns nil, else 503 with the reason.
+func ReadyHandler(ready func() error) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// Addr returns the address the endpoint listens on.
+func (a *Admin) Addr() string { return a.ln.Addr().String() }
+
+// Close stops the endpoint.
+func (a *Admin) Close() { _ = a.srv.Shutdown(context.Background()) }
