--- /dev/null
+++ b/declare/declare_test.go
@@ -0,0 +1,139 @@
+package declare_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/figlb/figlb/declare"
+	"github.com/figlb/figlb/structs"
+)
+
+func TestDeclare(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "declare")
+}
+
+const base = `
+[model m1]
+context_tokens = 1000
+
+[service chat]
+model = m1
+class = interactive
+max_output_tokens = 100
+
+[service orders]
+prefix = /orders
+repeatable = false
+
+[organisation acme]
+rate = 20/s
+burst = 40
+`
+
+const overlay = `
+[site]
+name = test
+
+[zone a]
+
+[host h1]
+zone = a
+
+[target t1]
+host = h1
+address = 127.0.0.1:9001
+model = m1
+slots = 4
+cold_slots = 1
+
+[target o1]
+host = h1
+address = 127.0.0.1:9002
+service = orders
+`
+
+func parse(b, o string) (*structs.Declaration, error) {
+	return declare.Parse("base.ini", []byte(b), "site.ini", []byte(o))
+}
+
+var _ = Describe("declarations", func() {
+	It("accepts the example sites", func() {
+		for _, site := range []string{"ng-south", "neng"} {
+			d, err := declare.Load("../examples/base.ini", "../examples/"+site+".ini")
+			Expect(err).NotTo(HaveOccurred(), site)
+			Expect(d.Organisations).To(HaveLen(8))
+			Expect(declare.Warnings(d)).To(BeEmpty())
+		}
+	})
+
+	It("lets an overlay override single keys of a base section", func() {
+		d, err := parse(base, overlay+"[organisation acme]\nrate = 90/m\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.Organisations[0].Rate).To(BeNumerically("~", 1.5, 1e-9))
+		Expect(d.Organisations[0].Burst).To(Equal(40))
+	})
+
+	It("accepts a service whose hardware has not arrived, with a warning", func() {
+		d, err := parse(base+"[service late]\nprefix = /late\n", overlay)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(declare.Warnings(d)).To(ContainElement(ContainSubstring("service late")))
+	})
+
+	// Each row guards against a fault that would otherwise be applied or be reported
+	// without its place and remedy.
+	DescribeTable("refuses",
+		func(b, o string, want ...string) {
+			_, err := parse(b, o)
+			Expect(err).To(HaveOccurred())
+			for _, w := range want {
+				Expect(err.Error()).To(ContainSubstring(w))
+			}
+		},
+		Entry("an unknown section", base, overlay+"[tenant x]\n", "site.ini:", "[tenant x] section is unknown; use [site]"),
+		Entry("an unknown key", base, overlay+"[zone b]\nsize = 4\n", "[zone b] size: key is unknown"),
+		Entry("a repeated section", base, overlay+"[zone a]\n", "[zone a] section is repeated; merge"),
+		Entry("a repeated key", base+"rate = 20/s\n", overlay, "base.ini:", "rate: key is repeated"),
+		Entry("a repeated key with an equal value", base+"burst = 40\n", overlay, "burst: key is repeated"),
+		Entry("a missing key", base, overlay+"[host h2]\n", "[host h2] zone: key is missing"),
+		Entry("a dangling zone", base, overlay+"[host h2]\nzone = nowhere\n", `zone "nowhere" is not declared; add [zone nowhere]`),
+		Entry("a dangling model", base+"[service s]\nmodel = m9\n", overlay, `model "m9" is not declared`),
+		Entry("a dangling service", base, overlay+"[target t2]\nhost = h1\naddress = 127.0.0.1:9003\nservice = none\n", `service "none" is not declared`),
+		Entry("a rate without a unit", base+"[organisation b]\nrate = 20\nburst = 1\n", overlay, `"20" is not a rate; write a number and a unit`),
+		Entry("a rate of zero", base+"[organisation b]\nrate = 0/s\nburst = 1\n", overlay, "is impossible"),
+		Entry("a rate that is not a number", base+"[organisation b]\nrate = NaN/s\nburst = 1\n", overlay, "is impossible"),
+		Entry("a burst of zero", base+"[organisation b]\nrate = 1/s\nburst = 0\n", overlay, "too small; use at least 1"),
+		Entry("a duration without a unit", base+"[service s]\nprefix = /s\ntimeout = 10\n", overlay, `"10" is not a duration`),
+		Entry("more cold slots than slots", base, overlay+"[target t2]\nhost = h1\naddress = 127.0.0.1:9003\nmodel = m1\nslots = 2\ncold_slots = 3\n", "exceeds slots"),
+		Entry("one address for two targets", base, overlay+"[target t2]\nhost = h1\naddress = 127.0.0.1:9001\nmodel = m1\n", "is used by target t1 too"),
+		Entry("a host name as address", base, overlay+"[target t2]\nhost = h1\naddress = localhost:9001\nmodel = m1\n", "is not ip:port"),
+		Entry("a prefix that figlb serves", base+"[service s]\nprefix = /v1/x\n", overlay, "is served by figlb itself"),
+		Entry("one prefix for two services", base+"[service s]\nprefix = /orders\n", overlay, "is used by service"),
+		Entry("a service with model and prefix", base+"[service s]\nprefix = /s\nmodel = m1\n", overlay, "not both"),
+		Entry("an open route that may not be repeated", base+"[service s]\nprefix = /s\nopen = true\n", overlay, "open to all"),
+		Entry("a name that is not valid", base, overlay+"[zone B_1]\n", "is not valid"),
+		Entry("a host in the base file", base+"[host h9]\nzone = a\n", overlay, "move it to the site's overlay"),
+		Entry("no site", base, "[zone a]\n", "[site] section is missing"),
+		Entry("interpolation is taken literally", base+"[organisation b]\nrate = %(burst)s\nburst = 1\n", overlay, `"%(burst)s" is not a rate`),
+	)
+
+	It("reports all problems of both files in one run", func() {
+		_, err := parse(base+"[service s]\n", overlay+"[host h2]\nzone = x\n[tenant y]\n")
+		Expect(err.Error()).To(And(ContainSubstring("[service s]"), ContainSubstring("[host h2]"), ContainSubstring("[tenant y]")))
+	})
+
+	It("lists additions, changes and removals", func() {
+		from, err := parse(base, overlay)
+		Expect(err).NotTo(HaveOccurred())
+		to, err := parse(base, overlay+"[zone b]\n[organisation acme]\nburst = 50\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(declare.Diff(from, to)).To(Equal([]declare.Change{
+			{Action: declare.ActionChange, Kind: structs.KindOrganisation, Name: "acme",
+				Fields: []declare.FieldChange{{Field: "burst", Old: 40.0, New: 50.0}}},
+			{Action: declare.ActionAdd, Kind: structs.KindZone, Name: "b"},
+		}))
+		Expect(declare.Diff(to, from)).To(ContainElement(declare.Change{Action: declare.ActionRemove, Kind: structs.KindZone, Name: "b"}))
+	})
+})
