--- /dev/null
+++ b/internal/testsite/site.go
@@ -0,0 +1,317 @@
+package testsite
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Options describe a site.
+type Options struct {
+	Bin     string // folder of the binaries
+	Dir     string // folder for settings, data and declarations
+	Members int
+	Entries int
+	Engines int
+	Orders  int
+	Groups  int
+	// Zones of hosts, members and entries, which are spread over them in turn.
+	Zones []string
+	// Organisations is text appended to the base file; empty: one organisation "acme"
+	// with a rate that tests do not reach.
+	Organisations string
+	// EngineArgs are passed to the model engines' stand-in.
+	EngineArgs []string
+	// Slots and ColdSlots of engines.
+	Slots, ColdSlots int
+	// DrainNotice and DrainDeadline of entries.
+	DrainNotice, DrainDeadline time.Duration
+	// Relays puts a relay into each connection to a state member, so that it can be cut.
+	Relays bool
+	// StateExtra and EntryExtra are more lines for the [state] and [entry] sections.
+	StateExtra, EntryExtra string
+}
+
+// Site is a running site.
+type Site struct {
+	opts    Options
+	Members []*Process
+	Entries []*Process
+	Engines *Process
+	Orders  *Process
+
+	MemberAddrs []string
+	EntryAddrs  []string
+	EntryAdmin  []string
+	EngineAddrs []string
+	OrderAddrs  []string
+
+	// relays[from][to]; entries follow the members in from.
+	relays [][]*Relay
+}
+
+func (o *Options) defaults() {
+	if o.Groups == 0 {
+		o.Groups = 2
+	}
+	if len(o.Zones) == 0 {
+		o.Zones = []string{"zone-a", "zone-b", "zone-c"}
+	}
+	if o.Organisations == "" {
+		o.Organisations = "[organisation acme]\nrate = 100000/s\nburst = 100000\n"
+	}
+	if o.Slots == 0 {
+		o.Slots, o.ColdSlots = 16, 16
+	}
+	if o.DrainDeadline == 0 {
+		o.DrainNotice, o.DrainDeadline = 200*time.Millisecond, 20*time.Second
+	}
+}
+
+// Start brings up the stand-ins, the members and the entries, and applies the
+// declaration.
+func Start(o Options) (*Site, error) {
+	o.defaults()
+	s := &Site{opts: o}
+	steps := []func() error{s.startTargets, s.startMembers, s.applyDeclaration, s.startEntries}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// Close ends all processes and relays.
+func (s *Site) Close() {
+	for _, p := range append(append([]*Process{s.Engines, s.Orders}, s.Entries...), s.Members...) {
+		if p != nil {
+			p.Thaw()
+			p.Kill()
+		}
+	}
+	for _, row := range s.relays {
+		for _, r := range row {
+			if r != nil {
+				r.Close()
+			}
+		}
+	}
+}
+
+func (s *Site) process(name, binary string, args ...string) *Process {
+	return &Process{Name: name, bin: filepath.Join(s.opts.Bin, binary), args: args}
+}
+
+func (s *Site) startTargets() error {
+	var err error
+	engineArgs := append([]string{"-role", "engine", "-listen", "127.0.0.1:0", "-engines", fmt.Sprint(s.opts.Engines)}, s.opts.EngineArgs...)
+	s.Engines = s.process("engines", "figlb-standin", engineArgs...)
+	if s.EngineAddrs, err = startStandin(s.Engines, s.opts.Engines); err != nil {
+		return err
+	}
+	if s.opts.Orders == 0 {
+		return nil
+	}
+	s.Orders = s.process("orders", "figlb-standin", "-role", "orders", "-listen", "127.0.0.1:0", "-engines", fmt.Sprint(s.opts.Orders))
+	s.OrderAddrs, err = startStandin(s.Orders, s.opts.Orders)
+	return err
+}
+
+func startStandin(p *Process, n int) ([]string, error) {
+	if err := p.Start(); err != nil {
+		return nil, err
+	}
+	var ready struct{ Addresses []string }
+	err := Within(10*time.Second, func() error {
+		if !p.Running() {
+			return errors.Errorf("%s ended: %s", p.Name, p.Log())
+		}
+		if err := json.Unmarshal([]byte(p.Stdout()), &ready); err != nil {
+			return err
+		}
+		if len(ready.Addresses) != n {
+			return errors.Errorf("%s listens on %d addresses, want %d", p.Name, len(ready.Addresses), n)
+		}
+		return nil
+	})
+	return ready.Addresses, err
+}
+
+func (s *Site) zone(i int) string { return s.opts.Zones[i%len(s.opts.Zones)] }
+
+func (s *Site) startMembers() error {
+	n := s.opts.Members
+	addrs, err := FreeAddrs(2 * n)
+	if err != nil {
+		return err
+	}
+	s.MemberAddrs = addrs[:n]
+	if err := s.makeRelays(); err != nil {
+		return err
+	}
+	for i := range n {
+		text := fmt.Sprintf("[state]\nid = %s\nzone = %s\nlisten = %s\nadmin = %s\ndata = %s\nmembers = %s\ngroups = %d\n%s\n",
+			memberID(i), s.zone(i), s.MemberAddrs[i], addrs[n+i], s.DataDir(i), s.memberList(i), s.opts.Groups, s.opts.StateExtra)
+		path, err := s.write(memberID(i)+".ini", text)
+		if err != nil {
+			return err
+		}
+		p := s.process(memberID(i), "figlb-state", "-config", path)
+		s.Members = append(s.Members, p)
+		var extra []string
+		if i == 0 {
+			extra = []string{"-bootstrap"}
+		}
+		if err := p.Start(extra...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func memberID(i int) string { return fmt.Sprintf("state-%d", i+1) }
+
+// DataDir returns a member's data folder.
+func (s *Site) DataDir(i int) string { return filepath.Join(s.opts.Dir, "data", memberID(i)) }
+
+// WipeMember removes a member's data; the member must not be running.
+func (s *Site) WipeMember(i int) error { return os.RemoveAll(s.DataDir(i)) }
+
+func (s *Site) makeRelays() error {
+	if !s.opts.Relays {
+		return nil
+	}
+	for from := range s.opts.Members + s.opts.Entries {
+		var row []*Relay
+		for to := range s.opts.Members {
+			if from == to {
+				row = append(row, nil)
+				continue
+			}
+			r, err := NewRelay(s.MemberAddrs[to])
+			if err != nil {
+				return err
+			}
+			row = append(row, r)
+		}
+		s.relays = append(s.relays, row)
+	}
+	return nil
+}
+
+// route returns the address under which a member or entry reaches a member.
+func (s *Site) route(from, to int) string {
+	if s.opts.Relays && from != to {
+		return s.relays[from][to].Addr()
+	}
+	return s.MemberAddrs[to]
+}
+
+func (s *Site) memberList(from int) string {
+	var items []string
+	for to := range s.opts.Members {
+		items = append(items, memberID(to)+"="+s.route(from, to))
+	}
+	return strings.Join(items, ",")
+}
+
+// CutMember silently cuts a member off from the other members and from all entries, in
+// both directions, or ends the cut.
+func (s *Site) CutMember(i int, on bool) {
+	for from, row := range s.relays {
+		for to, r := range row {
+			if r != nil && (from == i || to == i) {
+				r.Cut(on)
+			}
+		}
+	}
+}
+
+// CutEntry silently cuts an entry off from all members, or ends the cut.
+func (s *Site) CutEntry(i int, on bool) {
+	for _, r := range s.relays[s.opts.Members+i] {
+		r.Cut(on)
+	}
+}
+
+func (s *Site) startEntries() error {
+	addrs, err := FreeAddrs(2 * s.opts.Entries)
+	if err != nil {
+		return err
+	}
+	for i := range s.opts.Entries {
+		if err := s.startEntry(i, addrs[2*i], addrs[2*i+1]); err != nil {
+			return err
+		}
+	}
+	for i := range s.Entries {
+		if err := s.WaitReady(i, 15*time.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Site) startEntry(i int, listen, admin string) error {
+	var state []string
+	for to := range s.opts.Members {
+		state = append(state, s.route(s.opts.Members+i, to))
+	}
+	id := fmt.Sprintf("entry-%d", i+1)
+	text := fmt.Sprintf("[entry]\nid = %s\nzone = %s\nlisten = %s\nadmin = %s\nstate = %s\ngroups = %d\ndrain_notice = %s\ndrain_deadline = %s\n%s\n",
+		id, s.zone(i), listen, admin, strings.Join(state, ","), s.opts.Groups, s.opts.DrainNotice, s.opts.DrainDeadline, s.opts.EntryExtra)
+	path, err := s.write(id+".ini", text)
+	if err != nil {
+		return err
+	}
+	p := s.process(id, "figlb-entry", "-config", path)
+	s.Entries = append(s.Entries, p)
+	s.EntryAddrs = append(s.EntryAddrs, listen)
+	s.EntryAdmin = append(s.EntryAdmin, admin)
+	return p.Start()
+}
+
+func (s *Site) write(name, text string) (string, error) {
+	path := filepath.Join(s.opts.Dir, name)
+	return path, os.WriteFile(path, []byte(text), 0o600)
+}
+
+// FreeAddrs returns loopback addresses that were free a moment ago.
+func FreeAddrs(n int) ([]string, error) {
+	var out []string
+	var open []net.Listener
+	defer func() {
+		for _, l := range open {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		open = append(open, l)
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// Within repeats f until it succeeds or the timeout has passed.
+func Within(timeout time.Duration, f func() error) error {
+	deadline := time.Now().Add(timeout)
+	for {
+		err := f()
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
