--- /dev/null
+++ b/cmd/figlb-state/main.go
@@ -0,0 +1,41 @@
+// Command figlb-state runs a state member of figlb.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/figlb/figlb/settings"
+)
+
+// version is set by the linker.
+var version = "dev"
+
+func main() {
+	config := flag.String("config", "", "settings `FILE` (required)")
+	bootstrap := flag.Bool("bootstrap", false, "create the groups of a new site; once, on each first member")
+	showVersion := flag.Bool("version", false, "print the version and exit")
+	flag.Parse()
+	if *showVersion {
+		fmt.Println("figlb-state", version)
+		return
+	}
+	if err := start(*config, *bootstrap); err != nil {
+		fmt.Fprintln(os.Stderr, "figlb-state:", err)
+		os.Exit(1)
+	}
+}
+
+func start(config string, bootstrap bool) error {
+	file, err := settings.LoadState(config)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return run(ctx, file, bootstrap)
+}
--- /dev/null
+++ b/stateclient/config.go
@@ -0,0 +1,83 @@
+package stateclient
+
+import (
+	"context"
+
+	"github.com/figlb/figlb/structs"
+)
+
+// config sends a command to the configuration group.
+func (c *Client) config(ctx context.Context, method string, cmd structs.ConfigCommand) (*structs.ConfigReply, error) {
+	cmd.RequestID = requestID(ctx).id
+	return call[structs.ConfigReply](ctx, c, &request{
+		group:  ConfigGroup,
+		method: method,
+		write:  true,
+		body:   func(bool) any { return &cmd },
+	})
+}
+
+// Confirm polls the configuration. The caller takes the time of the poll before it
+// calls.
+func (c *Client) Confirm(ctx context.Context, poll structs.ConfirmConfig) (*structs.ConfirmReply, error) {
+	return query[structs.ConfirmReply](ctx, c, ConfigGroup, MethodConfigConfirm, &poll)
+}
+
+// ApplyConfig replaces the declared objects.
+func (c *Client) ApplyConfig(ctx context.Context, author string, cmd structs.ApplyConfig) (*structs.ConfigReply, error) {
+	return c.config(ctx, MethodConfigApply, structs.ConfigCommand{Author: author, Apply: &cmd})
+}
+
+// RollbackConfig applies an earlier declaration as a new revision.
+func (c *Client) RollbackConfig(ctx context.Context, author string, cmd structs.RollbackConfig) (*structs.ConfigReply, error) {
+	return c.config(ctx, MethodConfigRollback, structs.ConfigCommand{Author: author, Rollback: &cmd})
+}
+
+// GetConfig reads the configuration and the live entries.
+func (c *Client) GetConfig(ctx context.Context, q structs.ConfigQuery) (*structs.ConfigQueryReply, error) {
+	return query[structs.ConfigQueryReply](ctx, c, ConfigGroup, MethodConfigGet, &q)
+}
+
+// History reads the configuration's history.
+func (c *Client) History(ctx context.Context) (*structs.ConfigQueryReply, error) {
+	return query[structs.ConfigQueryReply](ctx, c, ConfigGroup, MethodConfigHistory, &structs.ConfigQuery{History: true})
+}
+
+// GrantKey adds a key.
+func (c *Client) GrantKey(ctx context.Context, author string, key structs.Key) (*structs.ConfigReply, error) {
+	return c.config(ctx, MethodKeyGrant, structs.ConfigCommand{Author: author, GrantKey: &key})
+}
+
+// RevokeKey withdraws a key for ever.
+func (c *Client) RevokeKey(ctx context.Context, author string, cmd structs.RevokeKey) (*structs.ConfigReply, error) {
+	return c.config(ctx, MethodKeyRevoke, structs.ConfigCommand{Author: author, RevokeKey: &cmd})
+}
+
+// SetDrain takes a zone, host or target out or brings it back.
+func (c *Client) SetDrain(ctx context.Context, author string, cmd structs.SetDrain) (*structs.ConfigReply, error) {
+	return c.config(ctx, MethodDrainSet, structs.ConfigCommand{Author: author, SetDrain: &cmd})
+}
+
+// AddFingerprint quarantines requests with a digest.
+func (c *Client) AddFingerprint(ctx context.Context, author string, f structs.Fingerprint) (*structs.ConfigReply, error) {
+	return c.config(ctx, MethodFingerprintAdd, structs.ConfigCommand{Author: author, AddFingerprint: &f})
+}
+
+// LiftFingerprint ends a quarantine.
+func (c *Client) LiftFingerprint(ctx context.Context, author string, cmd structs.LiftFingerprint) (*structs.ConfigReply, error) {
+	return c.config(ctx, MethodFingerprintLift, structs.ConfigCommand{Author: author, LiftFingerprint: &cmd})
+}
+
+// SubmitOrder queues an order to a model engine.
+func (c *Client) SubmitOrder(ctx context.Context, author string, o structs.EngineOrder) (*structs.ConfigReply, error) {
+	return c.config(ctx, MethodOrderSubmit, structs.ConfigCommand{Author: author, SubmitOrder: &o})
+}
+
+// Orders lists the orders.
+func (c *Client) Orders(ctx context.Context) ([]structs.EngineOrder, error) {
+	r, err := query[structs.ConfigQueryReply](ctx, c, ConfigGroup, MethodOrderList, &structs.ConfigQuery{})
+	if err != nil {
+		return nil, err
+	}
+	return r.Orders, nil
+}
--- /dev/null
+++ b/stateclient/methods.go
@@ -0,0 +1,39 @@
+package stateclient
+
+// Wire methods of state members.
+const (
+	MethodConfigConfirm   = "config.confirm"
+	MethodConfigApply     = "config.apply"
+	MethodConfigGet       = "config.get"
+	MethodConfigHistory   = "config.history"
+	MethodConfigRollback  = "config.rollback"
+	MethodKeyGrant        = "key.grant"
+	MethodKeyRevoke       = "key.revoke"
+	MethodDrainSet        = "drain.set"
+	MethodFingerprintAdd  = "fingerprint.add"
+	MethodFingerprintLift = "fingerprint.lift"
+	MethodOrderSubmit     = "order.submit"
+	MethodOrderList       = "order.list"
+	MethodProgramOpen     = "program.open"
+	MethodProgramEnd      = "program.end"
+	MethodProgramGet      = "program.get"
+	MethodTurnBegin       = "turn.begin"
+	MethodTurnFinish      = "turn.finish"
+	MethodTurnGet         = "turn.get"
+	MethodCallBegin       = "call.begin"
+	MethodCallFinish      = "call.finish"
+	MethodCallGet         = "call.get"
+	MethodCallResolve     = "call.resolve"
+	MethodRateDebit       = "rate.debit"
+	MethodSchedAssign     = "sched.assign"
+	MethodSchedRelease    = "sched.release"
+	MethodSchedReport     = "sched.report"
+	MethodMemberList      = "member.list"
+	MethodMemberRemove    = "member.remove"
+	MethodSnapshotSave    = "snapshot.save"
+	MethodSnapshotLoad    = "snapshot.load"
+	MethodStatus          = "status"
+	// MethodPing answers at once. Clients use it to notice a cut-off member during a
+	// call that waits on purpose.
+	MethodPing = "ping"
+)
--- /dev/null
+++ b/statemachine/configsm/machine.go
@@ -0,0 +1,106 @@
+package configsm
+
+import (
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/statemachine/reqlog"
+	"github.com/figlb/figlb/structs"
+)
+
+// Reply is the encoded answer of Apply. Err is set for a refusal.
+type Reply struct {
+	Err *errs.Error         `msgpack:"x,omitempty"`
+	OK  structs.ConfigReply `msgpack:"o"`
+}
+
+// Machine is the state machine of group 0. Apply, Snapshot and Restore are called by one
+// goroutine at a time; queries may run concurrently with them.
+type Machine struct {
+	mu       sync.RWMutex
+	state    state
+	requests *reqlog.Log // used by Apply, Snapshot and Restore only
+}
+
+// state is everything that is replicated, without the remembered requests.
+type state struct {
+	revision uint64
+	// deltaFrom is the oldest revision from which a delta is complete: deletions before
+	// it have been forgotten.
+	deltaFrom uint64
+	objects   map[objectID]structs.Object
+	history   []structs.RevisionInfo // the last changes of any kind, oldest first
+	declared  []declared             // the last declarations, oldest first
+	issuer    issuer
+	orders    []structs.EngineOrder // oldest first
+}
+
+type objectID struct {
+	kind structs.Kind
+	name string
+}
+
+// New returns an empty machine at revision 0.
+func New() *Machine {
+	return &Machine{state: newState(), requests: reqlog.New()}
+}
+
+func newState() state { return state{objects: map[objectID]structs.Object{}} }
+
+// Apply implements replica.StateMachine. The command is a structs.ConfigCommand, the
+// reply a Reply, both as msgpack.
+func (m *Machine) Apply(_ uint64, logTime time.Duration, cmd []byte) []byte {
+	var c structs.ConfigCommand
+	if err := msgpack.Unmarshal(cmd, &c); err != nil {
+		return reqlog.Encode(Reply{Err: errs.New(errs.BadRequest, "upgrade the sender", "command: %v", err)})
+	}
+	if first, ok := m.requests.Get(c.RequestID); ok {
+		return first
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := reqlog.Encode(m.state.reply(&c, logTime))
+	m.requests.Put(c.RequestID, out)
+	return out
+}
+
+func (s *state) reply(c *structs.ConfigCommand, now time.Duration) Reply {
+	before := s.revision
+	fencing, err := s.execute(c, now)
+	if s.revision != before {
+		s.pruneTombstones()
+	}
+	if err != nil {
+		return Reply{Err: err}
+	}
+	return Reply{OK: structs.ConfigReply{Revision: s.revision, Fencing: fencing}}
+}
+
+func (s *state) execute(c *structs.ConfigCommand, now time.Duration) (fencing uint64, err *errs.Error) {
+	switch {
+	case c.Apply != nil:
+		return 0, s.apply(c, c.Apply)
+	case c.Rollback != nil:
+		return 0, s.rollback(c, c.Rollback)
+	case c.GrantKey != nil:
+		return 0, s.grantKey(c, c.GrantKey)
+	case c.RevokeKey != nil:
+		return 0, s.revokeKey(c, c.RevokeKey)
+	case c.SetDrain != nil:
+		return 0, s.setDrain(c, c.SetDrain)
+	case c.AddFingerprint != nil:
+		return 0, s.addFingerprint(c, c.AddFingerprint)
+	case c.LiftFingerprint != nil:
+		return 0, s.liftFingerprint(c, c.LiftFingerprint)
+	case c.AcquireIssuer != nil:
+		return s.acquireIssuer(c.AcquireIssuer, now)
+	case c.SubmitOrder != nil:
+		return 0, s.submitOrder(c.SubmitOrder)
+	case c.UpdateOrder != nil:
+		return 0, s.updateOrder(c.UpdateOrder)
+	}
+	return 0, errs.New(errs.BadRequest, "upgrade this member", "the command is empty or unknown")
+}
--- /dev/null
+++ b/statemachine/configsm/query.go
@@ -0,0 +1,92 @@
+package configsm
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/structs"
+)
+
+// Revision returns the current revision.
+func (m *Machine) Revision() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.revision
+}
+
+// Delta returns the objects changed after a revision, deletions included, in order of
+// their revision. Full tells that they are the whole configuration instead: the
+// revision is too old for a delta, or does not exist here.
+func (m *Machine) Delta(since uint64) (rev uint64, objects []structs.Object, full bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	rev = m.state.revision
+	if since == rev {
+		return rev, nil, false
+	}
+	full = since == 0 || since > rev || since < m.state.deltaFrom
+	for _, o := range m.state.objects {
+		if full && o.Deleted || !full && o.ModRev <= since {
+			continue
+		}
+		objects = append(objects, o)
+	}
+	slices.SortFunc(objects, compareObjects)
+	return rev, objects, full
+}
+
+// Objects returns the revision and the objects of the given kinds (none: all) in order
+// of kind and name.
+func (m *Machine) Objects(kinds ...structs.Kind) (rev uint64, objects []structs.Object) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, o := range m.state.objects {
+		if !o.Deleted && (len(kinds) == 0 || slices.Contains(kinds, o.Kind)) {
+			objects = append(objects, o)
+		}
+	}
+	slices.SortFunc(objects, func(a, b structs.Object) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return m.state.revision, objects
+}
+
+// Object returns one object.
+func (m *Machine) Object(kind structs.Kind, name string) (structs.Object, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.live(kind, name)
+}
+
+// History returns the kept changes and declarations, oldest first.
+func (m *Machine) History() []structs.RevisionInfo {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	out := slices.Clone(m.state.history)
+	oldest := uint64(0)
+	if len(out) > 0 {
+		oldest = out[0].Revision
+	}
+	for _, d := range m.state.declared {
+		if d.Info.Revision < oldest {
+			out = append(out, d.Info)
+		}
+	}
+	slices.SortFunc(out, func(a, b structs.RevisionInfo) int { return cmp.Compare(a.Revision, b.Revision) })
+	return out
+}
+
+// Declaration returns the declaration of a revision.
+func (m *Machine) Declaration(rev uint64) (*structs.Declaration, *errs.Error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.declaration(rev)
+}
+
+// Orders returns the kept orders, oldest first.
+func (m *Machine) Orders() []structs.EngineOrder {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.Clone(m.state.orders)
+}
--- /dev/null
+++ b/statemachine/orgsm/query.go
@@ -0,0 +1,154 @@
+package orgsm
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/structs"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+func turnKey(program string, n int) string { return "turn/" + program + "/" + itoa(n) }
+
+func callKey(key string) string { return "call/" + key }
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func without(list []string, item string) []string {
+	return slices.DeleteFunc(slices.Clone(list), func(s string) bool { return s == item })
+}
+
+// Program reads a program.
+func (m *Machine) Program(orgName, id string) (*structs.Program, error) {
+	s := m.shard(orgName)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	o := s.orgs[orgName]
+	if o == nil || o.programs[id] == nil {
+		return nil, unknownProgram(id)
+	}
+	rec := o.view(o.programs[id])
+	return &rec, nil
+}
+
+// Turn reads a turn. If it is in progress, changed is closed when that ends.
+func (m *Machine) Turn(orgName, id string, n int) (t *structs.Turn, changed <-chan struct{}, err error) {
+	s := m.shard(orgName)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.orgs[orgName]
+	if o == nil || o.programs[id] == nil {
+		return nil, nil, unknownProgram(id)
+	}
+	p := o.programs[id]
+	if n < 1 || n > len(p.Turns) {
+		return nil, nil, errs.New(errs.NotFound, "begin the turn first", "program %q has no turn %d", id, n)
+	}
+	turn := p.Turns[n-1]
+	if turn.State == structs.TurnRunning {
+		changed = o.watcher(turnKey(id, n))
+	}
+	return &turn, changed, nil
+}
+
+// Call reads a call. If it is in progress, changed is closed when that ends.
+func (m *Machine) Call(orgName, key string) (c *structs.Call, changed <-chan struct{}, err error) {
+	s := m.shard(orgName)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.orgs[orgName]
+	if o == nil || o.calls[key] == nil {
+		return nil, nil, unknownCall(key)
+	}
+	rec := o.calls[key].Rec
+	if rec.State == structs.CallRunning {
+		changed = o.watcher(callKey(key))
+	}
+	return &rec, changed, nil
+}
+
+func (o *org) watcher(key string) <-chan struct{} {
+	if o.watch[key] == nil {
+		o.watch[key] = make(chan struct{})
+	}
+	return o.watch[key]
+}
+
+// Refuse returns the refusal of a begin whose organisation's bucket is clearly empty at
+// log time now, so that it need not be proposed; nil means to propose it. A begin that
+// repeats an earlier one debits nothing and is never refused here.
+func (m *Machine) Refuse(c *structs.OrgCommand, now time.Duration) *errs.Error {
+	s := m.shard(c.Org)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	o := s.orgs[c.Org]
+	if o == nil || !o.seen || o.repeats(c) {
+		return nil
+	}
+	limits := limitsOf(c)
+	if limits == nil || limits.Revision > o.limits.Revision {
+		return nil
+	}
+	if wait := o.bucket.refilled(o.limit(), now).wait(o.limit()); wait > 0 {
+		return rateLimited(o.name, wait)
+	}
+	return nil
+}
+
+func limitsOf(c *structs.OrgCommand) *structs.Limits {
+	switch {
+	case c.BeginTurn != nil:
+		return &c.BeginTurn.Limits
+	case c.BeginCall != nil:
+		return &c.BeginCall.Limits
+	case c.Debit != nil:
+		return &c.Debit.Limits
+	}
+	return nil
+}
+
+func (o *org) repeats(c *structs.OrgCommand) bool {
+	if b := c.BeginTurn; b != nil {
+		p := o.programs[b.Program]
+		return p != nil && b.Turn >= 1 && b.Turn <= len(p.Turns)
+	}
+	if b := c.BeginCall; b != nil {
+		k := o.calls[b.Key]
+		return k != nil && k.Rec.State != structs.CallNotRun
+	}
+	return false
+}
+
+// OrgRelease is a pending release of one organisation.
+type OrgRelease struct {
+	Org string
+	structs.Release
+}
+
+// Releases returns at most limit pending releases, in order of organisation, program
+// and target.
+func (m *Machine) Releases(limit int) []OrgRelease {
+	var out []OrgRelease
+	for i := range m.shards {
+		s := &m.shards[i]
+		s.mu.RLock()
+		for name, o := range s.orgs {
+			for r := range o.releases {
+				out = append(out, OrgRelease{Org: name, Release: r})
+			}
+		}
+		s.mu.RUnlock()
+	}
+	slices.SortFunc(out, compareReleases)
+	return out[:min(limit, len(out))]
+}
--- /dev/null
+++ b/statemachine/orgsm/replay.go
@@ -0,0 +1,81 @@
+package orgsm
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/statemachine/reqlog"
+	"github.com/figlb/figlb/structs"
+)
+
+// compact returns the form in which a reply is remembered: without messages, answers
+// and bodies, which are in the state and would multiply its size.
+func compact(r structs.OrgReply, encoded []byte) []byte {
+	switch {
+	case r.BeginTurn != nil:
+		b := *r.BeginTurn
+		b.History, b.Turn.Messages, b.Turn.Answer = nil, nil, nil
+		return reqlog.Encode(structs.OrgReply{BeginTurn: &b})
+	case r.BeginCall != nil && r.BeginCall.Call.Body != nil:
+		b := *r.BeginCall
+		b.Call.Body = nil
+		return reqlog.Encode(structs.OrgReply{BeginCall: &b})
+	case r.Call != nil && r.Call.Body != nil:
+		k := *r.Call
+		k.Body = nil
+		return reqlog.Encode(structs.OrgReply{Call: &k})
+	}
+	return encoded
+}
+
+// replay returns the first reply to a resent command, completed from the state.
+func (m *Machine) replay(c *structs.OrgCommand, first []byte) []byte {
+	var r structs.OrgReply
+	if err := msgpack.Unmarshal(first, &r); err != nil {
+		return reqlog.Encode(refuse(errs.New(errs.Internal, "report this message", "remembered reply: %v", err).WithRun(errs.RunUnknown)))
+	}
+	s := m.shard(c.Org)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	o := s.orgs[c.Org]
+	if o == nil {
+		return first
+	}
+	switch {
+	case r.BeginTurn != nil && c.BeginTurn != nil:
+		o.completeTurn(r.BeginTurn, c.BeginTurn)
+	case r.BeginCall != nil:
+		o.completeCall(&r.BeginCall.Call)
+	case r.Call != nil:
+		o.completeCall(r.Call)
+	default:
+		return first
+	}
+	return reqlog.Encode(r)
+}
+
+// completeTurn restores what compact left out. The turns before the begun one cannot
+// have changed; the begun one keeps its messages unless it failed and was begun again.
+func (o *org) completeTurn(b *structs.BeginTurnReply, c *structs.BeginTurn) {
+	p := o.programs[b.Program.ID]
+	if p == nil || b.Turn.N > len(p.Turns) {
+		return
+	}
+	t := p.Turns[b.Turn.N-1]
+	if t.Digest == b.Turn.Digest {
+		b.Turn.Messages = t.Messages
+	}
+	if b.Recorded {
+		b.Turn.Answer = t.Answer
+		return
+	}
+	b.History = p.history(c.KnownTurns, b.Turn.N)
+}
+
+// completeCall restores the body of a finished call, which is final.
+func (o *org) completeCall(k *structs.Call) {
+	now := o.calls[k.Key]
+	if now != nil && k.State == structs.CallFinished {
+		k.Body = now.Rec.Body
+	}
+}
--- /dev/null
+++ b/statemachine/orgsm/snapshot.go
@@ -0,0 +1,112 @@
+package orgsm
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/figlb/figlb/statemachine/reqlog"
+	"github.com/figlb/figlb/structs"
+)
+
+// snapshot is the encoded form of a machine. All its lists are sorted.
+type snapshot struct {
+	Orgs     []orgSnapshot  `msgpack:"o"`
+	Requests []reqlog.Entry `msgpack:"r"`
+}
+
+type orgSnapshot struct {
+	Name     string            `msgpack:"n"`
+	Seen     bool              `msgpack:"s"`
+	Limits   structs.Limits    `msgpack:"l"`
+	Bucket   bucket            `msgpack:"b"`
+	Programs []*program        `msgpack:"p"`
+	Calls    []*call           `msgpack:"c"`
+	Releases []structs.Release `msgpack:"e"`
+}
+
+// Snapshot implements replica.StateMachine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	out := snapshot{Requests: m.requests.Export()}
+	for i := range m.shards {
+		m.shards[i].mu.RLock()
+		defer m.shards[i].mu.RUnlock()
+		for _, o := range m.shards[i].orgs {
+			out.Orgs = append(out.Orgs, o.snapshot())
+		}
+	}
+	slices.SortFunc(out.Orgs, func(a, b orgSnapshot) int { return cmp.Compare(a.Name, b.Name) })
+	return reqlog.Encode(out), nil
+}
+
+func (o *org) snapshot() orgSnapshot {
+	s := orgSnapshot{Name: o.name, Seen: o.seen, Limits: o.limits, Bucket: o.bucket}
+	for _, id := range sortedKeys(o.programs) {
+		s.Programs = append(s.Programs, o.programs[id])
+	}
+	for _, key := range sortedKeys(o.calls) {
+		s.Calls = append(s.Calls, o.calls[key])
+	}
+	for r := range o.releases {
+		s.Releases = append(s.Releases, r)
+	}
+	slices.SortFunc(s.Releases, compareRelease)
+	return s
+}
+
+func compareRelease(a, b structs.Release) int {
+	return cmp.Or(cmp.Compare(a.Program, b.Program), cmp.Compare(a.Target, b.Target))
+}
+
+func compareReleases(a, b OrgRelease) int {
+	return cmp.Or(cmp.Compare(a.Org, b.Org), compareRelease(a.Release, b.Release))
+}
+
+// Restore implements replica.StateMachine. Waiting queries are woken.
+func (m *Machine) Restore(data []byte) error {
+	var in snapshot
+	if err := msgpack.Unmarshal(data, &in); err != nil {
+		return errors.Wrap(err, "decode snapshot of an organisation group")
+	}
+	m.clear()
+	for _, s := range in.Orgs {
+		o := restoreOrg(s)
+		sh := m.shard(s.Name)
+		sh.mu.Lock()
+		sh.orgs[s.Name] = o
+		sh.mu.Unlock()
+	}
+	m.requests.Import(in.Requests)
+	return nil
+}
+
+func (m *Machine) clear() {
+	for i := range m.shards {
+		s := &m.shards[i]
+		s.mu.Lock()
+		for _, o := range s.orgs {
+			for _, key := range sortedKeys(o.watch) {
+				o.notify(key)
+			}
+		}
+		s.orgs = map[string]*org{}
+		s.mu.Unlock()
+	}
+}
+
+func restoreOrg(s orgSnapshot) *org {
+	o := newOrg(s.Name)
+	o.seen, o.limits, o.bucket = s.Seen, s.Limits, s.Bucket
+	for _, p := range s.Programs {
+		o.programs[p.Rec.ID] = p
+	}
+	for _, k := range s.Calls {
+		o.calls[k.Rec.Key] = k
+	}
+	for _, r := range s.Releases {
+		o.releases[r] = struct{}{}
+	}
+	return o
+}
--- /dev/null
+++ b/stateserver/commands.go
@@ -0,0 +1,105 @@
+package stateserver
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/stateclient"
+	"github.com/figlb/figlb/statemachine/configsm"
+	"github.com/figlb/figlb/structs"
+	"github.com/figlb/figlb/wire"
+)
+
+func (s *Server) registerOrgCommands(w *wire.Server) {
+	for method, fits := range map[string]func(*structs.OrgCommand) bool{
+		stateclient.MethodProgramOpen: func(c *structs.OrgCommand) bool { return c.OpenProgram != nil },
+		stateclient.MethodProgramEnd:  func(c *structs.OrgCommand) bool { return c.EndProgram != nil },
+		stateclient.MethodTurnBegin:   func(c *structs.OrgCommand) bool { return c.BeginTurn != nil },
+		stateclient.MethodTurnFinish:  func(c *structs.OrgCommand) bool { return c.FinishTurn != nil },
+		stateclient.MethodCallBegin:   func(c *structs.OrgCommand) bool { return c.BeginCall != nil },
+		stateclient.MethodCallFinish:  func(c *structs.OrgCommand) bool { return c.FinishCall != nil },
+		stateclient.MethodCallResolve: func(c *structs.OrgCommand) bool { return c.ResolveCall != nil },
+		stateclient.MethodRateDebit:   func(c *structs.OrgCommand) bool { return c.Debit != nil },
+	} {
+		handle(s, w, method, func(ctx context.Context, c *structs.OrgCommand) (any, error) {
+			if !fits(c) || c.Org == "" || c.RequestID == "" {
+				return nil, malformed(method)
+			}
+			return s.orgCommand(ctx, c)
+		})
+	}
+}
+
+func malformed(method string) *errs.Error {
+	return errs.New(errs.BadRequest, "upgrade the sender", "%s: the command is incomplete", method)
+}
+
+// orgCommand refuses a begin that has no chance, else proposes the command.
+func (s *Server) orgCommand(ctx context.Context, c *structs.OrgCommand) (*structs.OrgReply, error) {
+	group := stateclient.OrgGroup(c.Org, s.groups)
+	if !c.Resend && s.Node.IsLeader(group) {
+		if err := s.Machines.Orgs[group].Refuse(c, s.Node.LogTime(group)); err != nil {
+			return nil, err
+		}
+	}
+	return s.proposeOrg(ctx, group, c)
+}
+
+func (s *Server) proposeOrg(ctx context.Context, group uint32, c *structs.OrgCommand) (*structs.OrgReply, error) {
+	reply := new(structs.OrgReply)
+	if err := s.propose(ctx, group, c, reply); err != nil {
+		return nil, err
+	}
+	if reply.Err != nil {
+		return nil, reply.Err
+	}
+	return reply, nil
+}
+
+func (s *Server) propose(ctx context.Context, group uint32, cmd, reply any) error {
+	body, err := msgpack.Marshal(cmd)
+	if err != nil {
+		return errors.Wrap(err, "encode command")
+	}
+	out, err := s.Node.Propose(ctx, group, body)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(msgpack.Unmarshal(out, reply), "decode the state machine's reply")
+}
+
+func (s *Server) registerConfigCommands(w *wire.Server) {
+	for method, fits := range map[string]func(*structs.ConfigCommand) bool{
+		stateclient.MethodConfigApply:     func(c *structs.ConfigCommand) bool { return c.Apply != nil },
+		stateclient.MethodConfigRollback:  func(c *structs.ConfigCommand) bool { return c.Rollback != nil },
+		stateclient.MethodKeyGrant:        func(c *structs.ConfigCommand) bool { return c.GrantKey != nil },
+		stateclient.MethodKeyRevoke:       func(c *structs.ConfigCommand) bool { return c.RevokeKey != nil },
+		stateclient.MethodDrainSet:        func(c *structs.ConfigCommand) bool { return c.SetDrain != nil },
+		stateclient.MethodFingerprintAdd:  func(c *structs.ConfigCommand) bool { return c.AddFingerprint != nil },
+		stateclient.MethodFingerprintLift: func(c *structs.ConfigCommand) bool { return c.LiftFingerprint != nil },
+		stateclient.MethodOrderSubmit:     func(c *structs.ConfigCommand) bool { return c.SubmitOrder != nil },
+	} {
+		handle(s, w, method, func(ctx context.Context, c *structs.ConfigCommand) (any, error) {
+			if !fits(c) || c.RequestID == "" {
+				return nil, malformed(method)
+			}
+			return s.proposeConfig(ctx, c)
+		})
+	}
+}
+
+func (s *Server) proposeConfig(ctx context.Context, c *structs.ConfigCommand) (*structs.ConfigReply, error) {
+	c.Now = time.Now().Unix()
+	var reply configsm.Reply
+	if err := s.propose(ctx, stateclient.ConfigGroup, c, &reply); err != nil {
+		return nil, err
+	}
+	if reply.Err != nil {
+		return nil, reply.Err
+	}
+	return &reply.OK, nil
+}
--- /dev/null
+++ b/stateserver/jobs.go
@@ -0,0 +1,65 @@
+package stateserver
+
+import (
+	"context"
+	"time"
+
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/stateclient"
+	"github.com/figlb/figlb/structs"
+)
+
+const (
+	// expiryPeriod is how often each group's leader looks for idle programs.
+	expiryPeriod = 10 * time.Second
+	// jobTimeout bounds one proposal of a background job.
+	jobTimeout = 5 * time.Second
+)
+
+// Run runs the background jobs until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	s.every(ctx, min(expiryPeriod, max(s.ProgramIdle/2, time.Second)), s.expireAll)
+}
+
+// every calls job at once and then in each period.
+func (s *Server) every(ctx context.Context, period time.Duration, job func(context.Context)) {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		job(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// expireAll proposes an expiry in each organisation group that this member leads.
+func (s *Server) expireAll(ctx context.Context) {
+	for group := range s.Machines.Orgs {
+		if !s.Node.IsLeader(group) {
+			continue
+		}
+		c := &structs.OrgCommand{
+			RequestID: stateclient.NewRequestID(),
+			Expire:    &structs.Expire{Idle: s.ProgramIdle, Keep: s.KeepEnded},
+		}
+		if _, err := s.proposeJob(ctx, group, c); err != nil {
+			s.logJob("expiry", group, err)
+		}
+	}
+}
+
+func (s *Server) proposeJob(ctx context.Context, group uint32, c *structs.OrgCommand) (*structs.OrgReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+	defer cancel()
+	return s.proposeOrg(ctx, group, c)
+}
+
+// logJob reports a failed job. A change of leader is no failure: the new leader runs it.
+func (s *Server) logJob(job string, group uint32, err error) {
+	if !errs.Is(err, errs.NotLeader) {
+		s.Log.Info("background job failed, it is repeated", "job", job, "group", group, "error", err.Error())
+	}
+}
--- /dev/null
+++ b/stateserver/membership.go
@@ -0,0 +1,102 @@
+package stateserver
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/figlb/figlb/replica"
+	"github.com/figlb/figlb/stateclient"
+	"github.com/figlb/figlb/structs"
+)
+
+// entryTimeout is the time without a poll after which an entry counts as dead. An entry
+// stops work 3 s after its last confirmed poll was sent; 1 s is margin.
+const entryTimeout = 4 * time.Second
+
+// membership is the config leader's list of entries. It belongs to one term: a new
+// leader starts with an empty list and knows all entries after entryTimeout.
+type membership struct {
+	node replica.Node
+	now  func() time.Time
+
+	mu    sync.Mutex
+	term  uint64
+	since time.Time
+	polls map[string]poll // by incarnation
+}
+
+type poll struct {
+	info structs.EntryInfo
+	at   time.Time
+}
+
+func newMembership(node replica.Node) *membership {
+	return &membership{node: node, now: time.Now, polls: map[string]poll{}}
+}
+
+// saw records a poll.
+func (m *membership) saw(c *structs.ConfirmConfig) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.startTerm()
+	info := c.Entry
+	info.Revision = c.Revision
+	m.polls[c.Incarnation] = poll{info: info, at: m.now()}
+}
+
+// startTerm clears the list when the leadership has changed.
+func (m *membership) startTerm() {
+	_, term := m.node.Leader(stateclient.ConfigGroup)
+	if term != m.term || m.since.IsZero() {
+		m.term = term
+		m.since = m.now()
+		m.polls = map[string]poll{}
+	}
+}
+
+// live returns the incarnations of live entries in order. It returns none while this
+// leader is too new to know them all: then no entry may be taken for dead.
+func (m *membership) live() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.startTerm()
+	if m.now().Sub(m.since) < entryTimeout {
+		return nil
+	}
+	m.dropDead()
+	var out []string
+	for incarnation := range m.polls {
+		out = append(out, incarnation)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// list returns the entries that polled lately, in order of their ids.
+func (m *membership) list() []structs.EntryInfo {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.startTerm()
+	m.dropDead()
+	var out []structs.EntryInfo
+	for _, p := range m.polls {
+		out = append(out, p.info)
+	}
+	slices.SortFunc(out, func(a, b structs.EntryInfo) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (m *membership) dropDead() {
+	now := m.now()
+	for incarnation, p := range m.polls {
+		if now.Sub(p.at) >= entryTimeout {
+			delete(m.polls, incarnation)
+		}
+	}
+}
--- /dev/null
+++ b/stateserver/queries.go
@@ -0,0 +1,120 @@
+package stateserver
+
+import (
+	"context"
+	"time"
+
+	"github.com/figlb/figlb/stateclient"
+	"github.com/figlb/figlb/structs"
+	"github.com/figlb/figlb/wire"
+)
+
+const (
+	// maxWait bounds a waiting query, so that a forgotten one ends.
+	maxWait = time.Minute
+	// leaderCheckPeriod is how often a waiting query checks that this member still
+	// leads, because only a leader learns of changes in time.
+	leaderCheckPeriod = 200 * time.Millisecond
+)
+
+func (s *Server) registerQueries(w *wire.Server) {
+	handle(s, w, stateclient.MethodConfigConfirm, s.confirm)
+	handle(s, w, stateclient.MethodConfigGet, s.getConfig)
+	handle(s, w, stateclient.MethodConfigHistory, s.getConfig)
+	handle(s, w, stateclient.MethodOrderList, s.listOrders)
+	handle(s, w, stateclient.MethodProgramGet, s.getProgram)
+	handle(s, w, stateclient.MethodTurnGet, s.getTurn)
+	handle(s, w, stateclient.MethodCallGet, s.getCall)
+}
+
+// confirm tells an entry the current revision and what changed since its own.
+func (s *Server) confirm(ctx context.Context, c *structs.ConfirmConfig) (any, error) {
+	if s.Node.IsLeader(stateclient.ConfigGroup) {
+		s.entries.saw(c)
+	}
+	if err := s.read(ctx, stateclient.ConfigGroup); err != nil {
+		return nil, err
+	}
+	rev, objects, full := s.Machines.Config.Delta(c.Revision)
+	return &structs.ConfirmReply{Revision: rev, Objects: objects, Full: full, Live: s.entries.live()}, nil
+}
+
+func (s *Server) getConfig(ctx context.Context, q *structs.ConfigQuery) (any, error) {
+	if err := s.read(ctx, stateclient.ConfigGroup); err != nil {
+		return nil, err
+	}
+	cfg := s.Machines.Config
+	out := &structs.ConfigQueryReply{Entries: s.entries.list()}
+	out.Revision, out.Objects = cfg.Objects(q.Kinds...)
+	if q.History {
+		out.History = cfg.History()
+	}
+	if q.DeclarationOf == 0 {
+		return out, nil
+	}
+	d, err := cfg.Declaration(q.DeclarationOf)
+	if err != nil {
+		return nil, err
+	}
+	out.Declaration = d
+	return out, nil
+}
+
+func (s *Server) listOrders(ctx context.Context, _ *structs.ConfigQuery) (any, error) {
+	if err := s.read(ctx, stateclient.ConfigGroup); err != nil {
+		return nil, err
+	}
+	cfg := s.Machines.Config
+	return &structs.ConfigQueryReply{Revision: cfg.Revision(), Orders: cfg.Orders()}, nil
+}
+
+func (s *Server) getProgram(ctx context.Context, q *structs.ProgramQuery) (any, error) {
+	group := stateclient.OrgGroup(q.Org, s.groups)
+	if err := s.read(ctx, group); err != nil {
+		return nil, err
+	}
+	return s.Machines.Orgs[group].Program(q.Org, q.Program)
+}
+
+func (s *Server) getTurn(ctx context.Context, q *structs.TurnQuery) (any, error) {
+	group := stateclient.OrgGroup(q.Org, s.groups)
+	return await(ctx, s, group, q.Wait, func() (*structs.Turn, <-chan struct{}, error) {
+		return s.Machines.Orgs[group].Turn(q.Org, q.Program, q.Turn)
+	})
+}
+
+func (s *Server) getCall(ctx context.Context, q *structs.CallQuery) (any, error) {
+	group := stateclient.OrgGroup(q.Org, s.groups)
+	return await(ctx, s, group, q.Wait, func() (*structs.Call, <-chan struct{}, error) {
+		return s.Machines.Orgs[group].Call(q.Org, q.Key)
+	})
+}
+
+// await reads a record and, while it is in progress, waits for it to change.
+func await[T any](ctx context.Context, s *Server, group uint32, wait time.Duration,
+	get func() (*T, <-chan struct{}, error)) (any, error) {
+	if err := s.read(ctx, group); err != nil {
+		return nil, err
+	}
+	timeout := time.NewTimer(min(wait, maxWait))
+	defer timeout.Stop()
+	check := time.NewTicker(leaderCheckPeriod)
+	defer check.Stop()
+	for {
+		v, changed, err := get()
+		if err != nil || changed == nil || wait <= 0 {
+			return v, err
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return v, nil
+		case <-check.C:
+			if !s.Node.IsLeader(group) {
+				return nil, s.notLeader(group)
+			}
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/stateserver/server.go
@@ -0,0 +1,143 @@
+package stateserver
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/replica"
+	"github.com/figlb/figlb/settings"
+	"github.com/figlb/figlb/stateclient"
+	"github.com/figlb/figlb/statemachine/configsm"
+	"github.com/figlb/figlb/statemachine/orgsm"
+	"github.com/figlb/figlb/wire"
+)
+
+// Machines holds the state machines of a member.
+type Machines struct {
+	Config *configsm.Machine
+	Orgs   map[uint32]*orgsm.Machine // by group, from 1
+}
+
+// NewMachines returns empty state machines for a number of organisation groups.
+func NewMachines(groups int) *Machines {
+	m := &Machines{Config: configsm.New(), Orgs: map[uint32]*orgsm.Machine{}}
+	for g := 1; g <= groups; g++ {
+		m.Orgs[uint32(g)] = orgsm.New()
+	}
+	return m
+}
+
+// ByGroup returns all machines as package replica takes them.
+func (m *Machines) ByGroup() map[uint32]replica.StateMachine {
+	out := map[uint32]replica.StateMachine{stateclient.ConfigGroup: m.Config}
+	for g, sm := range m.Orgs {
+		out[g] = sm
+	}
+	return out
+}
+
+// Options configures a Server.
+type Options struct {
+	Node     replica.Node
+	Machines *Machines
+	ID       string // this member's id
+	Zone     string
+	Members  []settings.Member
+	// ProgramIdle is the time after which an idle program expires; KeepEnded is how long
+	// ended programs and finished calls stay readable.
+	ProgramIdle time.Duration
+	KeepEnded   time.Duration
+	Log         logr.Logger
+	Metrics     metrics.Registry
+}
+
+// Server answers the calls of entries, operators and members.
+type Server struct {
+	Options
+	groups  int
+	gates   map[uint32]*readGate
+	entries *membership
+}
+
+// New returns a server.
+func New(o Options) *Server {
+	s := &Server{
+		Options: o,
+		groups:  len(o.Machines.Orgs),
+		gates:   map[uint32]*readGate{},
+		entries: newMembership(o.Node),
+	}
+	for g := range o.Machines.ByGroup() {
+		s.gates[g] = newReadGate(func(ctx context.Context) error { return o.Node.ReadIndex(ctx, g) })
+	}
+	return s
+}
+
+// Register adds the server's methods. It must be called before w serves.
+func (s *Server) Register(w *wire.Server) {
+	s.registerOrgCommands(w)
+	s.registerConfigCommands(w)
+	s.registerQueries(w)
+	s.registerMember(w)
+}
+
+// handle registers a handler with a decoded request. Errors leave in the form that
+// clients understand.
+func handle[Req any](s *Server, w *wire.Server, method string, h func(context.Context, *Req) (any, error)) {
+	w.Handle(method, func(ctx context.Context, body []byte) (any, error) {
+		req := new(Req)
+		if err := msgpack.Unmarshal(body, req); err != nil {
+			return nil, errs.New(errs.BadRequest, "upgrade the sender", "%s: %v", method, err)
+		}
+		reply, err := h(ctx, req)
+		if err != nil {
+			return nil, s.outward(err)
+		}
+		return reply, nil
+	})
+}
+
+// outward names the leader's address in NotLeader errors, and turns an ended context
+// into an uncertain outcome.
+func (s *Server) outward(err error) error {
+	var e *errs.Error
+	if errors.As(err, &e) {
+		if e.Code == errs.NotLeader {
+			c := *e
+			c.Leader = s.address(e.Leader)
+			return &c
+		}
+		return e
+	}
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return errs.New(errs.Uncertain, "send it again under the same request id", "the call's time ended: %v", err).
+			WithRun(errs.RunUnknown)
+	}
+	return err
+}
+
+// address returns the address of a member named by id or address.
+func (s *Server) address(member string) string {
+	for _, m := range s.Members {
+		if m.ID == member {
+			return m.Address
+		}
+	}
+	return member
+}
+
+func (s *Server) notLeader(group uint32) *errs.Error {
+	id, _ := s.Node.Leader(group)
+	if id == s.ID {
+		id = ""
+	}
+	e := errs.New(errs.NotLeader, "call the leader", "this member does not lead group %d", group)
+	e.Leader = s.address(id)
+	return e
+}
--- a/structs/program.go
+++ b/structs/program.go
@@ -10,8 +10,11 @@
 // pointers is set.
 type OrgCommand struct {
 	// RequestID makes a resend return the first answer.
-	RequestID   string       `msgpack:"q"`
-	Org         string       `msgpack:"o"`
+	RequestID string `msgpack:"q"`
+	Org       string `msgpack:"o"`
+	// Resend tells that an earlier copy of the command may have been committed, so that
+	// only the state machine may refuse it.
+	Resend      bool         `msgpack:"s,omitempty"`
 	OpenProgram *OpenProgram `msgpack:"a,omitempty"`
 	EndProgram  *EndProgram  `msgpack:"b,omitempty"`
 	BeginTurn   *BeginTurn   `msgpack:"c,omitempty"`
