Add the model engine and order stand-ins and the load driver

Cause: tests and the demonstration need engines, an order service and callers whose answers can be checked without a third-party server. Change: standin/engine batches continuously with a per-session prefix cache and answers with a text that depends on the messages only; standin/orders counts executions per key and per order reference; load drives programs and compares each answer with the expected text. Conclusion: first version; tools, weights and hostlist roles are not there yet.

--- /dev/null
+++ b/cmd/figlb-standin/main.go
@@ -0,0 +1,54 @@
+// Command figlb-standin runs stand-ins of the systems around figlb, for tests and for
+// the demonstration. It prints its addresses as JSON on standard output when it is ready
+// and stops on SIGINT or SIGTERM.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "figlb-standin:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	o, err := parse(args)
+	if err != nil {
+		return err
+	}
+	addrs, err := o.listeners()
+	if err != nil {
+		return err
+	}
+	started, err := o.start(addrs)
+	for _, s := range started {
+		defer s.Close()
+	}
+	if err != nil {
+		return err
+	}
+	ready := struct {
+		Role      string   `json:"role"`
+		Addresses []string `json:"addresses"`
+	}{Role: o.role}
+	for _, s := range started {
+		ready.Addresses = append(ready.Addresses, s.Addr())
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(ready); err != nil {
+		return err
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	<-stop
+	return nil
+}
+
+func newFlags() *flag.FlagSet { return flag.NewFlagSet("figlb-standin", flag.ContinueOnError) }
--- /dev/null
+++ b/load/balancer.go
@@ -0,0 +1,76 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	readyInterval = 250 * time.Millisecond
+	readyTimeout  = time.Second
+)
+
+// balancer picks an entry at random for each request, as the platform's balancer does,
+// and leaves out entries whose /readyz fails.
+type balancer struct {
+	urls    []string
+	unready []atomic.Bool
+}
+
+func newBalancer(urls []string) *balancer {
+	return &balancer{urls: urls, unready: make([]atomic.Bool, len(urls))}
+}
+
+// watch polls the entries until ctx ends.
+func (b *balancer) watch(ctx context.Context) {
+	for i := range b.urls {
+		go func() {
+			for ctx.Err() == nil {
+				b.unready[i].Store(!ready(ctx, b.urls[i]))
+				sleep(ctx, readyInterval)
+			}
+		}()
+	}
+}
+
+func ready(ctx context.Context, url string) bool {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := httpClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// pick returns a ready entry, or any entry if none is ready.
+func (b *balancer) pick() string {
+	var list []string
+	for i, u := range b.urls {
+		if !b.unready[i].Load() {
+			list = append(list, u)
+		}
+	}
+	if len(list) == 0 {
+		list = b.urls
+	}
+	return list[rand.IntN(len(list))]
+}
+
+// sleep returns after d or when ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
