--- a/cmd/figlb-state/main.go
+++ b/cmd/figlb-state/main.go
@@ -10,18 +10,16 @@
 	"syscall"
 
 	"github.com/figlb/figlb/settings"
+	"github.com/figlb/figlb/structs"
 )
 
-// version is set by the linker.
-var version = "dev"
-
 func main() {
 	config := flag.String("config", "", "settings `FILE` (required)")
 	bootstrap := flag.Bool("bootstrap", false, "create the groups of a new site; once, on each first member")
 	showVersion := flag.Bool("version", false, "print the version and exit")
 	flag.Parse()
 	if *showVersion {
-		fmt.Println("figlb-state", version)
+		fmt.Println("figlb-state", structs.Version)
 		return
 	}
 	if err := start(*config, *bootstrap); err != nil {
--- a/cmd/figlb-state/run.go
+++ b/cmd/figlb-state/run.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
-	"os"
 	"sync"
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
 
+	"github.com/figlb/figlb/pki"
 	"github.com/figlb/figlb/replica"
 	"github.com/figlb/figlb/settings"
 	"github.com/figlb/figlb/stateserver"
@@ -35,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	tlsConf, err := memberTLS(file.TLS)
+	tlsConf, err := pki.Config(file.TLS)
 	if err != nil {
 		return err
 	}
@@ -97,29 +95,3 @@
 func plugScheduler(_ replica.Node, _ *stateserver.Machines, _ *wire.Server, _ logr.Logger) (stop func()) {
 	return func() {}
 }
-
-// memberTLS returns the configuration for mutual TLS, nil if it is not set up.
-func memberTLS(t settings.TLS) (*tls.Config, error) {
-	if !t.Enabled() {
-		return nil, nil
-	}
-	cert, err := tls.LoadX509KeyPair(t.Cert, t.Key)
-	if err != nil {
-		return nil, errors.Wrap(err, "load the member's certificate")
-	}
-	pem, err := os.ReadFile(t.CA)
-	if err != nil {
-		return nil, errors.Wrap(err, "read the site CA")
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, errors.Errorf("%s holds no certificate", t.CA)
-	}
-	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{cert},
-		RootCAs:      pool,
-		ClientCAs:    pool,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-	}, nil
-}
--- a/stateclient/client.go
+++ b/stateclient/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -142,7 +143,8 @@
 			return reply, err
 		}
 		maybe = maybe || v.maybe
-		if v.leader != "" && v.leader != addr {
+		if v.leader != addr && slices.Contains(c.members, v.leader) {
+			// Other addresses may not be reachable from here.
 			addr = v.leader
 		} else {
 			c.forgetLeader(r.group, addr)
--- a/stateclient/config.go
+++ b/stateclient/config.go
@@ -6,17 +6,39 @@
 	"github.com/figlb/figlb/structs"
 )
 
-// config sends a command to the configuration group.
-func (c *Client) config(ctx context.Context, method string, cmd structs.ConfigCommand) (*structs.ConfigReply, error) {
-	cmd.RequestID = requestID(ctx).id
+// Config runs a command of group 0. The command keeps its request id if it has one.
+func (c *Client) Config(ctx context.Context, cmd structs.ConfigCommand) (*structs.ConfigReply, error) {
+	if cmd.RequestID == "" {
+		cmd.RequestID = requestID(ctx).id
+	}
 	return call[structs.ConfigReply](ctx, c, &request{
 		group:  ConfigGroup,
-		method: method,
+		method: configMethod(&cmd),
 		write:  true,
 		body:   func(bool) any { return &cmd },
 	})
 }
 
+func configMethod(c *structs.ConfigCommand) string {
+	switch {
+	case c.Rollback != nil:
+		return MethodConfigRollback
+	case c.GrantKey != nil:
+		return MethodKeyGrant
+	case c.RevokeKey != nil:
+		return MethodKeyRevoke
+	case c.SetDrain != nil:
+		return MethodDrainSet
+	case c.AddFingerprint != nil:
+		return MethodFingerprintAdd
+	case c.LiftFingerprint != nil:
+		return MethodFingerprintLift
+	case c.SubmitOrder != nil:
+		return MethodOrderSubmit
+	}
+	return MethodConfigApply
+}
+
 // Confirm polls the configuration. The caller takes the time of the poll before it
 // calls.
 func (c *Client) Confirm(ctx context.Context, poll structs.ConfirmConfig) (*structs.ConfirmReply, error) {
@@ -25,16 +47,16 @@
 
 // ApplyConfig replaces the declared objects.
 func (c *Client) ApplyConfig(ctx context.Context, author string, cmd structs.ApplyConfig) (*structs.ConfigReply, error) {
-	return c.config(ctx, MethodConfigApply, structs.ConfigCommand{Author: author, Apply: &cmd})
+	return c.Config(ctx, structs.ConfigCommand{Author: author, Apply: &cmd})
 }
 
 // RollbackConfig applies an earlier declaration as a new revision.
 func (c *Client) RollbackConfig(ctx context.Context, author string, cmd structs.RollbackConfig) (*structs.ConfigReply, error) {
-	return c.config(ctx, MethodConfigRollback, structs.ConfigCommand{Author: author, Rollback: &cmd})
+	return c.Config(ctx, structs.ConfigCommand{Author: author, Rollback: &cmd})
 }
 
-// GetConfig reads the configuration and the live entries.
-func (c *Client) GetConfig(ctx context.Context, q structs.ConfigQuery) (*structs.ConfigQueryReply, error) {
+// QueryConfig reads the configuration, its history, the orders and the live entries.
+func (c *Client) QueryConfig(ctx context.Context, q structs.ConfigQuery) (*structs.ConfigQueryReply, error) {
 	return query[structs.ConfigQueryReply](ctx, c, ConfigGroup, MethodConfigGet, &q)
 }
 
@@ -45,32 +67,32 @@
 
 // GrantKey adds a key.
 func (c *Client) GrantKey(ctx context.Context, author string, key structs.Key) (*structs.ConfigReply, error) {
-	return c.config(ctx, MethodKeyGrant, structs.ConfigCommand{Author: author, GrantKey: &key})
+	return c.Config(ctx, structs.ConfigCommand{Author: author, GrantKey: &key})
 }
 
 // RevokeKey withdraws a key for ever.
 func (c *Client) RevokeKey(ctx context.Context, author string, cmd structs.RevokeKey) (*structs.ConfigReply, error) {
-	return c.config(ctx, MethodKeyRevoke, structs.ConfigCommand{Author: author, RevokeKey: &cmd})
+	return c.Config(ctx, structs.ConfigCommand{Author: author, RevokeKey: &cmd})
 }
 
 // SetDrain takes a zone, host or target out or brings it back.
 func (c *Client) SetDrain(ctx context.Context, author string, cmd structs.SetDrain) (*structs.ConfigReply, error) {
-	return c.config(ctx, MethodDrainSet, structs.ConfigCommand{Author: author, SetDrain: &cmd})
+	return c.Config(ctx, structs.ConfigCommand{Author: author, SetDrain: &cmd})
 }
 
 // AddFingerprint quarantines requests with a digest.
 func (c *Client) AddFingerprint(ctx context.Context, author string, f structs.Fingerprint) (*structs.ConfigReply, error) {
-	return c.config(ctx, MethodFingerprintAdd, structs.ConfigCommand{Author: author, AddFingerprint: &f})
+	return c.Config(ctx, structs.ConfigCommand{Author: author, AddFingerprint: &f})
 }
 
 // LiftFingerprint ends a quarantine.
 func (c *Client) LiftFingerprint(ctx context.Context, author string, cmd structs.LiftFingerprint) (*structs.ConfigReply, error) {
-	return c.config(ctx, MethodFingerprintLift, structs.ConfigCommand{Author: author, LiftFingerprint: &cmd})
+	return c.Config(ctx, structs.ConfigCommand{Author: author, LiftFingerprint: &cmd})
 }
 
 // SubmitOrder queues an order to a model engine.
 func (c *Client) SubmitOrder(ctx context.Context, author string, o structs.EngineOrder) (*structs.ConfigReply, error) {
-	return c.config(ctx, MethodOrderSubmit, structs.ConfigCommand{Author: author, SubmitOrder: &o})
+	return c.Config(ctx, structs.ConfigCommand{Author: author, SubmitOrder: &o})
 }
 
 // Orders lists the orders.
--- a/stateclient/query.go
+++ b/stateclient/query.go
@@ -14,13 +14,13 @@
 	return call[R](ctx, c, &request{group: group, method: method, body: func(bool) any { return req }})
 }
 
-// Program reads a program.
-func (c *Client) Program(ctx context.Context, q structs.ProgramQuery) (*structs.Program, error) {
+// GetProgram reads a program.
+func (c *Client) GetProgram(ctx context.Context, q structs.ProgramQuery) (*structs.Program, error) {
 	return query[structs.Program](ctx, c, c.OrgGroup(q.Org), MethodProgramGet, &q)
 }
 
-// Turn reads a turn. It waits at most q.Wait for a turn in progress to end.
-func (c *Client) Turn(ctx context.Context, q structs.TurnQuery) (*structs.Turn, error) {
+// GetTurn reads a turn. It waits at most q.Wait for a turn in progress to end.
+func (c *Client) GetTurn(ctx context.Context, q structs.TurnQuery) (*structs.Turn, error) {
 	until := time.Now().Add(q.Wait)
 	for {
 		q.Wait = nextSlice(until)
@@ -33,8 +33,8 @@
 	}
 }
 
-// Call reads a call. It waits at most q.Wait for a call in progress to end.
-func (c *Client) Call(ctx context.Context, q structs.CallQuery) (*structs.Call, error) {
+// GetCall reads a call. It waits at most q.Wait for a call in progress to end.
+func (c *Client) GetCall(ctx context.Context, q structs.CallQuery) (*structs.Call, error) {
 	until := time.Now().Add(q.Wait)
 	for {
 		q.Wait = nextSlice(until)
--- a/statemachine/configsm/query.go
+++ b/statemachine/configsm/query.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/structs"
 )
 
@@ -78,10 +77,24 @@
 }
 
 // Declaration returns the declaration of a revision.
-func (m *Machine) Declaration(rev uint64) (*structs.Declaration, *errs.Error) {
+func (m *Machine) Declaration(rev uint64) (*structs.Declaration, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.state.declaration(rev)
+	d, err := m.state.declaration(rev)
+	if err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Current returns the declaration in force, nil if none has been applied.
+func (m *Machine) Current() (*structs.Declaration, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if len(m.state.declared) == 0 {
+		return nil, nil
+	}
+	return decodeDeclaration(m.state.declared[len(m.state.declared)-1].Data)
 }
 
 // Orders returns the kept orders, oldest first.
--- a/stateserver/queries.go
+++ b/stateserver/queries.go
@@ -44,7 +44,7 @@
 		return nil, err
 	}
 	cfg := s.Machines.Config
-	out := &structs.ConfigQueryReply{Entries: s.entries.list()}
+	out := &structs.ConfigQueryReply{Entries: s.entries.list(), Orders: cfg.Orders()}
 	out.Revision, out.Objects = cfg.Objects(q.Kinds...)
 	if q.History {
 		out.History = cfg.History()
@@ -52,12 +52,18 @@
 	if q.DeclarationOf == 0 {
 		return out, nil
 	}
-	d, err := cfg.Declaration(q.DeclarationOf)
-	if err != nil {
-		return nil, err
+	var err error
+	out.Declaration, err = s.declaration(q.DeclarationOf)
+	return out, err
+}
+
+// declaration returns the declaration of a revision, nil for the one in force where none
+// has been applied.
+func (s *Server) declaration(rev uint64) (*structs.Declaration, error) {
+	if rev == structs.CurrentDeclaration {
+		return s.Machines.Config.Current()
 	}
-	out.Declaration = d
-	return out, nil
+	return s.Machines.Config.Declaration(rev)
 }
 
 func (s *Server) listOrders(ctx context.Context, _ *structs.ConfigQuery) (any, error) {
--- a/structs/configcmd.go
+++ b/structs/configcmd.go
@@ -109,10 +109,14 @@
 	// Full tells that Objects is the whole configuration: the poll's revision was too
 	// old for a delta.
 	Full bool `msgpack:"f,omitempty"`
-	// Live lists the incarnations of entries that polled within the membership timeout.
+	// Live lists the incarnations of entries that polled within the membership timeout. It
+	// is empty while a new leader may not know them all: then none counts as dead.
 	Live []string `msgpack:"l,omitempty"`
 }
 
+// CurrentDeclaration as ConfigQuery.DeclarationOf asks for the declaration in force.
+const CurrentDeclaration = ^uint64(0)
+
 // ConfigQuery reads the configuration or its history.
 type ConfigQuery struct {
 	// Kinds limits the objects; empty means all.
