Add the scheduler: policy, running shards, wire handlers and entry client

Package sched holds the pure accounting and policies of a pool: weighted fair queueing between organisations, due-time order within one, estimated completion time with a cache map for the choice of a target, slot limits with cold start, and three baselines. Package dispatch runs one scheduler per pool on the leader of the pool's group; schedclient keeps requests waiting across changes of leader.

structs gains ReportReply, PoolQuery and RetryReply.

--- /dev/null
+++ b/dispatch/retry.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import "time"
+
+// The retry budget of a pool: retries in the last retryWindow may be at most retryShare
+// of its successes in that time, and minRetries in any case.
+const (
+	retryWindow  = 10 * time.Second
+	retryBuckets = 10
+	retryShare   = 0.2
+	minRetries   = 3
+)
+
+// retryBudget counts successes and retries in buckets of a tenth of the window.
+type retryBudget struct {
+	buckets [retryBuckets]retryBucket
+}
+
+type retryBucket struct {
+	epoch              int64
+	successes, retries int
+}
+
+func epochOf(now time.Duration) int64 { return int64(now / (retryWindow / retryBuckets)) }
+
+func (b *retryBudget) bucket(now time.Duration) *retryBucket {
+	epoch := epochOf(now)
+	k := &b.buckets[epoch%retryBuckets]
+	if k.epoch != epoch {
+		*k = retryBucket{epoch: epoch}
+	}
+	return k
+}
+
+func (b *retryBudget) success(now time.Duration) { b.bucket(now).successes++ }
+
+// allowed reports whether a retry fits the budget now.
+func (b *retryBudget) allowed(now time.Duration) bool {
+	oldest := epochOf(now) - retryBuckets
+	successes, retries := 0, 0
+	for _, k := range b.buckets {
+		if k.epoch > oldest {
+			successes += k.successes
+			retries += k.retries
+		}
+	}
+	return float64(retries+1) <= max(minRetries, retryShare*float64(successes))
+}
+
+// take counts a retry if it fits the budget.
+func (b *retryBudget) take(now time.Duration) bool {
+	if !b.allowed(now) {
+		return false
+	}
+	b.bucket(now).retries++
+	return true
+}
--- /dev/null
+++ b/dispatch/suite_test.go
@@ -0,0 +1,200 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/figlb/figlb/dispatch"
+	"github.com/figlb/figlb/dispatch/schedclient"
+	"github.com/figlb/figlb/structs"
+	"github.com/figlb/figlb/wire"
+)
+
+func TestDispatch(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dispatch")
+}
+
+const pool = "model/m"
+
+// fleet is a set of members, one of which leads all groups.
+type fleet struct {
+	mu     sync.Mutex
+	leader int // index; -1: none
+	term   uint64
+	topo   atomic.Pointer[dispatch.Topology]
+	age    atomic.Int64
+	live   atomic.Pointer[[]string]
+
+	members []*member
+}
+
+type member struct {
+	fleet   *fleet
+	index   int
+	server  *wire.Server
+	manager *dispatch.Manager
+	frozen  atomic.Bool // believes that it still leads its old term
+	oldTerm uint64
+}
+
+// newFleet starts n members; the first leads in term 1.
+func newFleet(n int, topo *dispatch.Topology, opts dispatch.Options) *fleet {
+	f := &fleet{term: 1}
+	f.topo.Store(topo)
+	opts.NoPolling = true
+	for i := range n {
+		m := &member{fleet: f, index: i}
+		f.members = append(f.members, m)
+		server, err := wire.Listen("127.0.0.1:0", nil, logr.Discard())
+		Expect(err).NotTo(HaveOccurred())
+		m.server = server
+		m.manager = dispatch.NewManager(opts, m, f)
+		dispatch.Register(server, m.manager)
+		go server.Serve()
+		DeferCleanup(func() {
+			m.manager.Close()
+			server.Close()
+		})
+	}
+	return f
+}
+
+func (f *fleet) Topology() *dispatch.Topology { return f.topo.Load() }
+func (f *fleet) Age() time.Duration           { return time.Duration(f.age.Load()) }
+func (f *fleet) LiveEntries() ([]string, bool) {
+	if l := f.live.Load(); l != nil {
+		return *l, true
+	}
+	return nil, false
+}
+
+// elect makes a member the leader of a new term; -1 leaves the groups without one.
+func (f *fleet) elect(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leader = i
+	f.term++
+}
+
+func (m *member) Count() int                            { return 4 }
+func (m *member) Leadership(uint32) dispatch.Leadership { return m }
+
+func (m *member) IsLeader() bool {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	return m.frozen.Load() || m.fleet.leader == m.index
+}
+
+func (m *member) Term() uint64 {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	if m.frozen.Load() {
+		return m.oldTerm
+	}
+	return m.fleet.term
+}
+
+// resolver knows the members and moves on to the next one after a failure.
+type resolver struct {
+	fleet *fleet
+	at    atomic.Int64
+}
+
+func (r *resolver) LeaderAddress(context.Context, uint32) (string, error) {
+	return r.fleet.members[r.at.Load()%int64(len(r.fleet.members))].server.Addr(), nil
+}
+
+func (r *resolver) LeaderFailed(_ uint32, addr, _ string) {
+	at := r.at.Load()
+	if r.fleet.members[at%int64(len(r.fleet.members))].server.Addr() == addr {
+		r.at.CompareAndSwap(at, at+1)
+	}
+}
+
+// caller adds faults to the calls of an entry.
+type caller struct {
+	*wire.Client
+	// loseReplies is the number of assign replies to lose.
+	loseReplies *atomic.Int64
+}
+
+func (c caller) Call(ctx context.Context, method string, req, reply any) error {
+	if method == dispatch.MethodAssign && c.loseReplies.Add(-1) >= 0 {
+		if err := c.Client.Call(ctx, method, req, nil); err != nil {
+			return err
+		}
+		return wire.ErrConnLost
+	}
+	return c.Client.Call(ctx, method, req, reply)
+}
+
+type entry struct {
+	*schedclient.Client
+	name        string
+	loseReplies atomic.Int64
+}
+
+// newEntry returns the client of an entry, and a function that kills it.
+func newEntry(f *fleet, name string) (*entry, func()) {
+	e := &entry{name: name}
+	var mu sync.Mutex
+	clients := map[string]*wire.Client{}
+	dial := func(addr string) schedclient.Caller {
+		mu.Lock()
+		defer mu.Unlock()
+		if clients[addr] == nil {
+			clients[addr] = wire.NewClient(addr, nil)
+		}
+		return caller{Client: clients[addr], loseReplies: &e.loseReplies}
+	}
+	e.Client = schedclient.New(schedclient.Options{Entry: name, Groups: 4, Resolver: &resolver{fleet: f}, Dial: dial})
+	kill := sync.OnceFunc(func() {
+		e.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range clients {
+			c.Close()
+		}
+	})
+	DeferCleanup(kill)
+	return e, kill
+}
+
+func (e *entry) request(id string) *structs.AssignRequest {
+	return &structs.AssignRequest{ID: id, Entry: e.name, Pool: pool, Org: "org", Weight: 1, Service: "s"}
+}
+
+func (e *entry) release(a *structs.Assignment, o structs.Outcome) error {
+	return e.Release(context.Background(), &structs.ReleaseSlot{
+		Pool: pool, Entry: e.name, Slot: a.Slot, Target: a.Target, Outcome: o,
+	})
+}
+
+// within returns a context for one call.
+func within(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	DeferCleanup(cancel)
+	return ctx
+}
+
+// targets returns a topology with n targets, on one host and zone each.
+func targets(n, slots, cold int) *dispatch.Topology {
+	topo := &dispatch.Topology{}
+	for i := range n {
+		host := fmt.Sprintf("h%d", i)
+		topo.Hosts = append(topo.Hosts, structs.Host{Name: host, Zone: fmt.Sprintf("z%d", i)})
+		topo.Targets = append(topo.Targets, structs.Target{
+			Name: fmt.Sprintf("t%d", i), Host: host, Address: "127.0.0.1:1", Model: "m", Slots: slots, ColdSlots: cold,
+		})
+	}
+	return topo
+}
--- /dev/null
+++ b/sched/queue.go
@@ -0,0 +1,278 @@
+package sched
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"github.com/figlb/figlb/structs"
+)
+
+// Offsets of a request's due time, which orders the queue of an organisation. The due
+// time is the arrival plus offsets, so a request that waits overtakes later arrivals of
+// any kind after at most the sum of the offsets: nothing starves.
+const (
+	lookupOffset = 15 * time.Second
+	batchOffset  = 180 * time.Second
+	// newProgramOffset puts programs in progress before new ones.
+	newProgramOffset = 4 * time.Second
+	// attainedOffset is added for each doubling of the program's attained service beyond
+	// attainedUnit.
+	attainedOffset = time.Second
+	attainedUnit   = 256 // tokens
+	maxAttained    = 12 * time.Second
+	// deadlineMargin is the time before its deadline at which a batch request is due.
+	deadlineMargin = 30 * time.Second
+)
+
+// dueTime returns the time by which a request should be assigned, relative to others of
+// its organisation.
+func dueTime(r *Request) time.Duration {
+	due := r.Enqueued
+	switch r.Class {
+	case structs.ClassLookup:
+		due += lookupOffset
+	case structs.ClassBatch:
+		due += batchOffset
+	}
+	if !r.InProgress() {
+		due += newProgramOffset
+	}
+	if r.Attained > attainedUnit {
+		doublings := math.Log2(float64(r.Attained) / attainedUnit)
+		due += min(time.Duration(doublings*float64(attainedOffset)), maxAttained)
+	}
+	if r.Class == structs.ClassBatch && r.Deadline > 0 {
+		due = min(due, max(r.Enqueued, r.Enqueued+r.Deadline-deadlineMargin))
+	}
+	return due
+}
+
+// Org is the queue and the account of one organisation.
+type Org struct {
+	Name string
+	// served is the service received divided by the weight, on the scale of the pool's
+	// virtual time.
+	served  float64
+	waiting requestHeap
+	ranks   [shedRanks]int // queued and parked requests of each shedding rank
+	running int
+	heapPos int
+}
+
+// Queue holds the waiting requests of a pool.
+type Queue struct {
+	orgs   map[string]*Org
+	active orgHeap // organisations with requests that are not parked
+	fifo   fifo
+	parked map[*Request]struct{}
+	size   int
+	seq    uint64
+	// virtual is the served value of the organisation that was assigned last.
+	virtual float64
+}
+
+func newQueue() *Queue {
+	return &Queue{orgs: map[string]*Org{}, parked: map[*Request]struct{}{}}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return q.size }
+
+func (q *Queue) org(name string) *Org {
+	o := q.orgs[name]
+	if o == nil {
+		o = &Org{Name: name, heapPos: notQueued}
+		q.orgs[name] = o
+	}
+	return o
+}
+
+func (q *Queue) push(r *Request) {
+	q.seq++
+	r.seq = q.seq
+	r.due = dueTime(r)
+	o := q.org(r.Org)
+	if o.idle() {
+		// An organisation cannot save up service from the time it sent nothing.
+		o.served = max(o.served, q.virtual)
+	}
+	o.ranks[shedRank(r)]++
+	q.size++
+	q.fifo.push(r)
+	q.ready(o, r)
+}
+
+func (o *Org) idle() bool { return o.running == 0 && o.queued() == 0 }
+
+func (o *Org) queued() int {
+	n := 0
+	for _, c := range o.ranks {
+		n += c
+	}
+	return n
+}
+
+// ready makes r eligible for assignment.
+func (q *Queue) ready(o *Org, r *Request) {
+	heap.Push(&o.waiting, r)
+	if o.heapPos == notQueued {
+		heap.Push(&q.active, o)
+	}
+}
+
+// unready takes r out of the organisation's heap.
+func (q *Queue) unready(o *Org, r *Request) {
+	heap.Remove(&o.waiting, r.heapPos)
+	if len(o.waiting) == 0 {
+		heap.Remove(&q.active, o.heapPos)
+	}
+}
+
+// remove takes a waiting request out of the queue.
+func (q *Queue) remove(r *Request) {
+	o := q.org(r.Org)
+	if r.parkedOn != nil {
+		delete(q.parked, r)
+		r.parkedOn.parked--
+		r.parkedOn = nil
+	} else {
+		q.unready(o, r)
+	}
+	o.ranks[shedRank(r)]--
+	q.size--
+	q.fifo.remove(r)
+}
+
+// park lets r wait for a slot on t until the time to.
+func (q *Queue) park(r *Request, t *Target, to time.Duration) {
+	q.unready(q.org(r.Org), r)
+	r.parkedOn, r.parkedTo = t, to
+	t.parked++
+	q.parked[r] = struct{}{}
+}
+
+func (q *Queue) unpark(r *Request) {
+	delete(q.parked, r)
+	r.parkedOn.parked--
+	r.parkedOn = nil
+	q.ready(q.org(r.Org), r)
+}
+
+// charge adds cost tokens to the organisation's account.
+func (q *Queue) charge(name string, cost, weight float64) {
+	o := q.org(name)
+	o.served += cost / weight
+	if o.heapPos != notQueued {
+		heap.Fix(&q.active, o.heapPos)
+	}
+}
+
+// started and ended keep the number of running requests of an organisation.
+func (q *Queue) started(name string) { q.org(name).running++ }
+
+func (q *Queue) ended(name string) {
+	o := q.org(name)
+	o.running--
+	if o.idle() && o.served <= q.virtual {
+		delete(q.orgs, name)
+	}
+}
+
+// requestHeap orders the requests of an organisation by due time.
+type requestHeap []*Request
+
+func (h requestHeap) Len() int { return len(h) }
+func (h requestHeap) Less(i, j int) bool {
+	if h[i].due != h[j].due {
+		return h[i].due < h[j].due
+	}
+	return h[i].seq < h[j].seq
+}
+func (h requestHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapPos, h[j].heapPos = i, j
+}
+func (h *requestHeap) Push(x any) {
+	r := x.(*Request)
+	r.heapPos = len(*h)
+	*h = append(*h, r)
+}
+func (h *requestHeap) Pop() any {
+	old := *h
+	r := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	r.heapPos = notQueued
+	return r
+}
+
+// orgHeap orders organisations by service received.
+type orgHeap []*Org
+
+func (h orgHeap) Len() int { return len(h) }
+func (h orgHeap) Less(i, j int) bool {
+	if h[i].served != h[j].served {
+		return h[i].served < h[j].served
+	}
+	return h[i].Name < h[j].Name
+}
+func (h orgHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapPos, h[j].heapPos = i, j
+}
+func (h *orgHeap) Push(x any) {
+	o := x.(*Org)
+	o.heapPos = len(*h)
+	*h = append(*h, o)
+}
+func (h *orgHeap) Pop() any {
+	old := *h
+	o := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	o.heapPos = notQueued
+	return o
+}
+
+// fifo holds requests in order of arrival. Removed ones stay as empty places until they
+// make up half of the list.
+type fifo struct {
+	items []*Request
+	live  int
+}
+
+func (f *fifo) push(r *Request) {
+	r.fifoPos = len(f.items)
+	f.items = append(f.items, r)
+	f.live++
+}
+
+func (f *fifo) remove(r *Request) {
+	f.items[r.fifoPos] = nil
+	f.live--
+	if f.live*2 < len(f.items) {
+		f.compact()
+	}
+}
+
+func (f *fifo) compact() {
+	kept := f.items[:0]
+	for _, r := range f.items {
+		if r != nil {
+			r.fifoPos = len(kept)
+			kept = append(kept, r)
+		}
+	}
+	clear(f.items[len(kept):])
+	f.items = kept
+}
+
+// each calls fn for the waiting requests in order of arrival until it returns false.
+func (f *fifo) each(fn func(*Request) bool) {
+	for _, r := range f.items {
+		if r != nil && !fn(r) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/sched/target.go
@@ -0,0 +1,278 @@
+package sched
+
+import (
+	"time"
+)
+
+// State is the health of a target.
+type State string
+
+// States of a target.
+const (
+	Warm    State = "warm"
+	Cold    State = "cold"
+	Down    State = "down"
+	Drained State = "drained"
+)
+
+const (
+	// downAfter is the number of consecutive failures after which a target is down.
+	downAfter = 3
+	// Probe delays of a target that is down; each failed probe doubles the delay.
+	minProbeDelay = time.Second
+	maxProbeDelay = 10 * time.Second
+	// reportTTL is the age at which a load report stops being used.
+	reportTTL = 5 * time.Second
+	// reportSkew is the tolerance in matching a report's time with own assignments: a
+	// request needs some time to reach the target.
+	reportSkew = 50 * time.Millisecond
+	// slowTTFTFactor and slowTTFTFloor tell when a first token is so late that the
+	// target must have become cold.
+	slowTTFTFactor = 4
+	slowTTFTFloor  = 2 * time.Second
+)
+
+// TargetSpec is the configuration of a target.
+type TargetSpec struct {
+	Name, Address, Host, Zone string
+	Slots, ColdSlots          int
+	// Out tells that the target, its host or its zone is drained or leaving.
+	Out bool
+}
+
+// LoadReport is what a target says about itself.
+type LoadReport struct {
+	Running, Waiting int
+	// KVUsed and KVTotal are in tokens; KVTotal is 0 if unknown.
+	KVUsed, KVTotal int64
+	Cold            bool
+	// At is the time of the measurement on the pool's clock.
+	At time.Duration
+}
+
+// Target is a target with its account.
+type Target struct {
+	TargetSpec
+	// Requests counts assignments.
+	Requests int64
+
+	slots  map[*Slot]struct{}
+	recent []span // slots that ended within reportTTL
+	parked int    // requests that wait for this target
+
+	limit     int
+	good      int // good answers since the last change of the limit
+	failures  int // consecutive ones
+	down      bool
+	probeAt   time.Duration
+	delay     time.Duration
+	coldSince time.Duration // time of the last sign of a cold start
+	// assumedCold tells that the target counts as cold for lack of knowledge only.
+	assumedCold bool
+
+	report   LoadReport
+	reported bool
+	external int  // requests on the target that are not in this account
+	speed    ewma // time per token relative to the pool's
+}
+
+type span struct{ from, to time.Duration }
+
+func newTarget(spec TargetSpec, now time.Duration, assumed bool) *Target {
+	t := &Target{TargetSpec: spec, slots: map[*Slot]struct{}{}}
+	t.setCold(now)
+	t.assumedCold = assumed
+	return t
+}
+
+func (s TargetSpec) coldSlots() int { return min(max(s.ColdSlots, 1), s.maxSlots()) }
+func (s TargetSpec) maxSlots() int  { return max(s.Slots, 1) }
+
+// State returns the target's state.
+func (t *Target) State() State {
+	switch {
+	case t.Out:
+		return Drained
+	case t.down:
+		return Down
+	case t.reportedCold() || t.limit < t.maxSlots():
+		return Cold
+	}
+	return Warm
+}
+
+// InUse returns the number of slots in use, with requests that this account does not
+// know but the target reports.
+func (t *Target) InUse() int { return len(t.slots) + t.external }
+
+// Limit returns the number of slots that may be in use now.
+func (t *Target) Limit(now time.Duration) int {
+	switch {
+	case t.Out:
+		return 0
+	case t.down && now < t.probeAt:
+		return 0
+	case t.down:
+		return 1
+	case t.reportedCold():
+		return min(t.limit, t.coldSlots())
+	}
+	return t.limit
+}
+
+// Free returns the number of slots that are free now.
+func (t *Target) Free(now time.Duration) int { return t.Limit(now) - t.InUse() }
+
+// reportedCold tells that the target's newest report says that it is cold.
+func (t *Target) reportedCold() bool { return t.reported && t.report.Cold }
+
+// reportedWarm tells that a report made after the last sign of a cold start says that
+// the target is not cold.
+func (t *Target) reportedWarm() bool {
+	return t.reported && !t.report.Cold && t.report.At > t.coldSince
+}
+
+// setCold puts the target at its cold-start limit.
+func (t *Target) setCold(now time.Duration) {
+	t.limit = t.coldSlots()
+	t.good = 0
+	t.coldSince = now
+	t.assumedCold = false
+}
+
+// update takes over a changed configuration. A target that returns is cold.
+func (t *Target) update(spec TargetSpec, now time.Duration) {
+	returned := t.Out && !spec.Out
+	moved := t.Address != spec.Address
+	t.TargetSpec = spec
+	t.limit = min(t.limit, t.maxSlots())
+	if returned || moved {
+		t.down = false
+		t.failures = 0
+		t.setCold(now)
+	}
+}
+
+// onGood accounts for a good answer.
+func (t *Target) onGood(now time.Duration) {
+	t.failures = 0
+	if t.down {
+		t.down = false
+		t.setCold(now)
+	}
+	if t.limit >= t.maxSlots() || !t.mayGrow() {
+		return
+	}
+	t.good++
+	if t.good < t.growthStep() {
+		return
+	}
+	t.good = 0
+	t.limit++
+}
+
+// mayGrow tells whether good answers raise the limit. A target that reports its load
+// must first have said that it is warm.
+func (t *Target) mayGrow() bool { return !t.reported || t.reportedWarm() }
+
+// growthStep is the number of good answers that raise the limit by one: a full round of
+// the slots, or one answer if the target itself says that it is warm.
+func (t *Target) growthStep() int {
+	if t.reportedWarm() {
+		return 1
+	}
+	return t.limit
+}
+
+// onError accounts for an error answer of a target that is alive.
+func (t *Target) onError(now time.Duration) {
+	t.good = 0
+	t.limit = max(t.limit/2, 1)
+	t.onFailure(now)
+}
+
+// onBroken accounts for a lost connection or a refusal: the target may have restarted.
+func (t *Target) onBroken(now time.Duration) {
+	t.setCold(now)
+	t.onFailure(now)
+}
+
+func (t *Target) onFailure(now time.Duration) {
+	t.failures++
+	if t.failures < downAfter {
+		return
+	}
+	if !t.down {
+		t.down = true
+		t.delay = minProbeDelay
+	} else {
+		t.delay = min(2*t.delay, maxProbeDelay)
+	}
+	t.probeAt = now + t.delay
+}
+
+// onReport accounts for a load report. It returns the slots of gone entries whose
+// requests the report proves to have ended.
+func (t *Target) onReport(now time.Duration, r LoadReport) (ended []*Slot) {
+	if t.reported && r.At < t.report.At {
+		return nil
+	}
+	if r.Cold && !t.reportedCold() {
+		t.setCold(r.At)
+	}
+	t.report, t.reported = r, true
+	t.prune(now)
+	t.external = max(0, r.Running+r.Waiting-t.ownAt(r.At))
+	if t.assumedCold && t.reportedWarm() {
+		// The previous scheduler had grown the limit at least to the slots in use.
+		t.limit = max(t.limit, min(t.maxSlots(), len(t.slots)))
+		t.assumedCold = false
+	}
+	return t.endedOrphans(r)
+}
+
+// ownAt returns the number of own slots that were in use at a time.
+func (t *Target) ownAt(at time.Duration) int {
+	n := 0
+	for s := range t.slots {
+		if s.AssignedAt <= at+reportSkew {
+			n++
+		}
+	}
+	for _, s := range t.recent {
+		if s.from <= at+reportSkew && s.to >= at-reportSkew {
+			n++
+		}
+	}
+	return n
+}
+
+// endedOrphans picks the slots of gone entries that exceed the requests on the target at
+// the time of the report.
+func (t *Target) endedOrphans(r LoadReport) []*Slot {
+	var orphans []*Slot
+	for s := range t.slots {
+		if s.OrphanedAt > 0 && s.OrphanedAt < r.At {
+			orphans = append(orphans, s)
+		}
+	}
+	excess := len(orphans) - r.Running - r.Waiting
+	if excess <= 0 {
+		return nil
+	}
+	return orphans[:excess]
+}
+
+// prune drops knowledge that is too old.
+func (t *Target) prune(now time.Duration) {
+	kept := t.recent[:0]
+	for _, s := range t.recent {
+		if s.to+reportTTL > now {
+			kept = append(kept, s)
+		}
+	}
+	t.recent = kept
+	if t.reported && t.report.At+reportTTL < now {
+		t.external = 0
+	}
+}
--- a/structs/sched.go
+++ b/structs/sched.go
@@ -83,3 +83,19 @@
 	Entry string     `msgpack:"e"`
 	Slots []SlotInfo `msgpack:"s,omitempty"`
 }
+
+// ReportReply answers ReportSlots.
+type ReportReply struct {
+	// Term is the scheduler's; assignments of a lower term are void.
+	Term uint64 `msgpack:"r"`
+}
+
+// PoolQuery asks a scheduler about one pool.
+type PoolQuery struct {
+	Pool string `msgpack:"l"`
+}
+
+// RetryReply tells whether the pool's retry budget allows a retry now.
+type RetryReply struct {
+	Allowed bool `msgpack:"a"`
+}
