Join the schedulers and the command line to the state members

Cause: a state member schedules the pools whose groups it leads and must know how old its view of the configuration is. Ruled out: reading the member's own replica of group 0 without confirmation; a cut-off follower would go on assigning to a drained zone.

--- a/cmd/figlb-state/run.go
+++ b/cmd/figlb-state/run.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"sync"
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
 
+	"github.com/figlb/figlb/dispatch"
+	"github.com/figlb/figlb/dispatch/topology"
 	"github.com/figlb/figlb/pki"
 	"github.com/figlb/figlb/replica"
 	"github.com/figlb/figlb/settings"
+	"github.com/figlb/figlb/stateclient"
 	"github.com/figlb/figlb/stateserver"
 	"github.com/figlb/figlb/telemetry"
 	"github.com/figlb/figlb/wire"
@@ -54,7 +58,10 @@
 		Log: log, Metrics: metrics.DefaultRegistry,
 	})
 	srv.Register(w)
-	stopScheduler := plugScheduler(n, machines, w, log)
+	stopScheduler, err := startScheduler(st, members, n, w, tlsConf, log)
+	if err != nil {
+		return err
+	}
 	defer stopScheduler()
 	admin, err := telemetry.StartAdmin(st.Admin, metrics.DefaultRegistry, func() error { return ready(n) })
 	if err != nil {
@@ -90,8 +97,25 @@
 	return nil
 }
 
-// plugScheduler is where package dispatch is plugged in: it registers the sched.*
-// methods on w and returns the function that stops the scheduler.
-func plugScheduler(_ replica.Node, _ *stateserver.Machines, _ *wire.Server, _ logr.Logger) (stop func()) {
-	return func() {}
+// startScheduler runs the schedulers of the pools whose groups this member leads. It
+// returns the function that stops them.
+func startScheduler(st settings.State, members []settings.Member, n replica.Node, w *wire.Server,
+	tlsConf *tls.Config, log logr.Logger) (stop func(), err error) {
+	addresses := make([]string, len(members))
+	for i, m := range members {
+		addresses[i] = m.Address
+	}
+	client, err := stateclient.New(addresses, st.Groups, tlsConf)
+	if err != nil {
+		return nil, err
+	}
+	follower := topology.Start(client, log)
+	opts := dispatch.Options{Log: log, HostListURL: st.HostList}
+	manager := dispatch.NewManager(opts, dispatch.NodeGroups(n, st.Groups), follower)
+	dispatch.Register(w, manager)
+	return func() {
+		manager.Close()
+		follower.Close()
+		client.Close()
+	}, nil
 }
--- /dev/null
+++ b/cmd/figlbctl/main.go
@@ -0,0 +1,60 @@
+// Command figlbctl operates a figlb site.
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/figlb/figlb/command"
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/pki"
+	"github.com/figlb/figlb/settings"
+	"github.com/figlb/figlb/stateclient"
+)
+
+func main() {
+	env := &command.Env{Stdout: os.Stdout, Stderr: os.Stderr, Connect: connect}
+	os.Exit(command.Run(env, os.Args[1:]))
+}
+
+// api joins the state client to the verbs.
+type api struct{ *stateclient.Client }
+
+func connect(c *command.Common) (command.API, error) {
+	var members []string
+	for _, m := range strings.Split(c.State, ",") {
+		if m = strings.TrimSpace(m); m != "" {
+			members = append(members, m)
+		}
+	}
+	conf, err := pki.Config(tlsSettings(c.TLSDir))
+	if err != nil {
+		return nil, err
+	}
+	client, err := stateclient.New(members, c.Groups, conf)
+	if err != nil {
+		return nil, err
+	}
+	return api{client}, nil
+}
+
+func tlsSettings(dir string) settings.TLS {
+	if dir == "" {
+		return settings.TLS{}
+	}
+	return settings.TLS{
+		CA:   filepath.Join(dir, "ca.pem"),
+		Cert: filepath.Join(dir, "operator.pem"),
+		Key:  filepath.Join(dir, "operator.key"),
+	}
+}
+
+func (a api) SaveSnapshot(context.Context) ([]byte, error) {
+	return nil, errs.New(errs.Unavailable, "copy the data folder of a stopped member", "snapshots over the network are not implemented")
+}
+
+func (a api) LoadSnapshot(context.Context, []byte) error {
+	return errs.New(errs.Unavailable, "restore the data folder of a stopped member", "snapshots over the network are not implemented")
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -66,6 +66,8 @@
 	// ended programs and finished calls stay readable.
 	ProgramIdle time.Duration `ini:"program_idle,min=1s"`
 	KeepEnded   time.Duration `ini:"keep_ended,min=1s"`
+	// HostList is the URL of the platform's list of live and leaving hosts; empty: none.
+	HostList string `ini:"host_list"`
 }
 
 // EntryFile is the settings file of figlb-entry.
--- /dev/null
+++ b/stateclient/sched.go
@@ -0,0 +1,62 @@
+package stateclient
+
+import (
+	"context"
+	"sync"
+
+	"github.com/figlb/figlb/structs"
+)
+
+// methodSchedStatus is package dispatch's method; an empty pool means all pools that the
+// member schedules.
+const methodSchedStatus = "sched.status"
+
+// Targets returns the targets as the schedulers of all reachable members see them.
+func (c *Client) Targets(ctx context.Context) ([]structs.TargetStatus, error) {
+	var mu sync.Mutex
+	var out []structs.TargetStatus
+	var last error
+	answered := false
+	var wg sync.WaitGroup
+	for _, addr := range c.members {
+		wg.Go(func() {
+			part, err := attempt[[]structs.TargetStatus](ctx, c, addr, &request{method: methodSchedStatus}, &structs.PoolQuery{})
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				last = err
+				return
+			}
+			answered = true
+			out = append(out, *part...)
+		})
+	}
+	wg.Wait()
+	if !answered {
+		return nil, last
+	}
+	return out, nil
+}
+
+// LeaderAddress returns the address to try first for a group.
+func (c *Client) LeaderAddress(_ context.Context, group uint32) (string, error) {
+	return c.leader(group), nil
+}
+
+// LeaderFailed tells that addr did not answer as the leader of a group. hint is the
+// leader's address if the member named one.
+func (c *Client) LeaderFailed(group uint32, addr, hint string) {
+	if hint != "" && hint != addr {
+		c.setLeader(group, hint)
+		return
+	}
+	c.setLeader(group, c.after(addr))
+}
+
+// Conn returns the connection to a member; schedulers are called on it.
+func (c *Client) Conn(addr string) Conn { return c.conn(addr) }
+
+// Conn calls methods of one member.
+type Conn interface {
+	Call(ctx context.Context, method string, req, reply any) error
+}
--- a/stateserver/queries.go
+++ b/stateserver/queries.go
@@ -29,7 +29,8 @@
 
 // confirm tells an entry the current revision and what changed since its own.
 func (s *Server) confirm(ctx context.Context, c *structs.ConfirmConfig) (any, error) {
-	if s.Node.IsLeader(stateclient.ConfigGroup) {
+	// State members follow the configuration too; only entries have an incarnation.
+	if c.Incarnation != "" && s.Node.IsLeader(stateclient.ConfigGroup) {
 		s.entries.saw(c)
 	}
 	if err := s.read(ctx, stateclient.ConfigGroup); err != nil {
