Add the entry, the client of targets and figlb-entry

It confirms its configuration each second and checks keys against it. Package engine sends each request to a target once and checks that the answer is whole.

Turns and calls run in goroutines of their own, so that their outcome is recorded when the caller leaves. cmd/figlb-entry compiles; connect.go marks where the clients of the state and of the schedulers are joined.

--- /dev/null
+++ b/cmd/figlb-entry/main.go
@@ -0,0 +1,65 @@
+// Command figlb-entry is the HTTP entry of figlb: it serves callers on the entry hosts.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/figlb/figlb/entry"
+	"github.com/figlb/figlb/settings"
+	"github.com/figlb/figlb/telemetry"
+)
+
+func main() {
+	config := flag.String("config", "entry.ini", "settings `file`")
+	flag.Parse()
+	if err := run(*config); err != nil {
+		fmt.Fprintln(os.Stderr, "figlb-entry:", err)
+		os.Exit(1)
+	}
+}
+
+// run serves until a signal asks for a planned stop.
+func run(config string) error {
+	f, err := settings.LoadEntry(config)
+	if err != nil {
+		return err
+	}
+	log := telemetry.NewLogger(f.Log.Level, "figlb-entry", f.Entry.ID)
+	defer telemetry.StartTracing(f.Trace, "figlb-entry")()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+
+	state, sched, closeState, err := connect(f)
+	if err != nil {
+		return err
+	}
+	defer closeState()
+	registry := metrics.NewRegistry()
+	e := entry.New(entry.Options{
+		Settings: f.Entry, TLS: f.TLS, State: state, Scheduler: sched, Log: log, Metrics: registry,
+	})
+	admin, err := telemetry.StartAdmin(f.Entry.Admin, registry, e.Ready)
+	if err != nil {
+		return err
+	}
+	defer admin.Close()
+	e.Start()
+	srv, err := e.Listen()
+	if err != nil {
+		return err
+	}
+	log.Info("serving", "address", srv.Addr(), "admin", admin.Addr())
+	select {
+	case <-stop:
+		srv.Drain()
+		return nil
+	case err := <-srv.Failed():
+		return err
+	}
+}
--- /dev/null
+++ b/engine/request.go
@@ -0,0 +1,95 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/figlb/figlb/structs"
+)
+
+// HeaderRequestID carries figlb's id of a request; engines may echo it.
+const HeaderRequestID = "X-Request-Id"
+
+var traceContext = propagation.TraceContext{}
+
+// onceBody hides the body's type from net/http, which otherwise keeps a copy of it
+// and resends the request on its own when a reused connection breaks.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// exchange is one request to a target, sent once.
+type exchange struct {
+	req     *http.Request
+	gotConn atomic.Bool
+}
+
+func newExchange(ctx context.Context, method, url string, header http.Header, body []byte) (*exchange, error) {
+	x := &exchange{}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { x.gotConn.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, method, url, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	if header != nil {
+		req.Header = header
+	}
+	req.Body = onceBody{bytes.NewReader(body)}
+	req.ContentLength = int64(len(body))
+	traceContext.Inject(ctx, propagation.HeaderCarrier(req.Header))
+	x.req = req
+	return x, nil
+}
+
+// failure classifies an error of the transport or of reading the answer.
+func (x *exchange) failure(ctx context.Context, err error, status int) *Failure {
+	f := &Failure{Outcome: structs.OutcomeCrash, Written: x.gotConn.Load(), Status: status, Err: err}
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, ErrStalled):
+		f.Outcome, f.Err = structs.OutcomeError, ErrStalled
+	case cause != nil:
+		f.Outcome, f.Err = structs.OutcomeCancelled, cause
+	case !f.Written:
+		f.Outcome = structs.OutcomeRefused
+	case isMalformed(err):
+		f.Outcome = structs.OutcomeError
+	}
+	return f
+}
+
+// isMalformed reports whether the target answered with something other than HTTP, in
+// contrast to a broken connection.
+func isMalformed(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) {
+		return false
+	}
+	return !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, ErrCut)
+}
+
+func startSpan(ctx context.Context, name, address string) (context.Context, trace.Span) {
+	return otel.Tracer("figlb/engine").Start(ctx, name,
+		trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("server.address", address)))
+}
+
+func endSpan(span trace.Span, f *Failure) {
+	if f != nil {
+		span.SetStatus(codes.Error, string(f.Outcome))
+	}
+	span.End()
+}
--- /dev/null
+++ b/engine/sse.go
@@ -0,0 +1,80 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxEventLine bounds one line of an event stream, in bytes.
+	maxEventLine  = 1 << 20
+	eventBuffer   = 4 << 10
+	fieldData     = "data"
+	fieldEvent    = "event"
+	fieldSplitter = ":"
+)
+
+var errLineTooLong = errors.New("a line of the event stream is too long")
+
+// event is one server-sent event.
+type event struct {
+	name string
+	data string
+}
+
+// eventReader reads server-sent events.
+type eventReader struct{ r *bufio.Reader }
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, eventBuffer)}
+}
+
+// next returns the next event that has data. It returns io.EOF at the end of the
+// stream; an event without its closing blank line is not returned.
+func (e *eventReader) next() (event, error) {
+	var ev event
+	var data []string
+	for {
+		line, err := e.line()
+		if err != nil {
+			return event{}, err
+		}
+		if line == "" {
+			if len(data) == 0 {
+				ev = event{}
+				continue
+			}
+			ev.data = strings.Join(data, "\n")
+			return ev, nil
+		}
+		name, value, _ := strings.Cut(line, fieldSplitter)
+		value = strings.TrimPrefix(value, " ")
+		switch name {
+		case fieldData:
+			data = append(data, value)
+		case fieldEvent:
+			ev.name = value
+		}
+	}
+}
+
+func (e *eventReader) line() (string, error) {
+	var buf []byte
+	for {
+		part, err := e.r.ReadSlice('\n')
+		buf = append(buf, part...)
+		if len(buf) > maxEventLine {
+			return "", errLineTooLong
+		}
+		if err == nil {
+			return string(bytes.TrimRight(buf, "\r\n")), nil
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return "", err
+		}
+	}
+}
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,303 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/figlb/figlb/engine"
+	"github.com/figlb/figlb/entry/reply"
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/structs"
+)
+
+const (
+	// maxRecordedBody bounds the part of an answer that is kept in the replicated
+	// state, in bytes.
+	maxRecordedBody    = 1 << 20
+	maxRecordedHeaders = 32
+	// headerBodyOmitted marks a recorded answer whose body was too large to keep.
+	headerBodyOmitted = "Figlb-Body-Omitted"
+	// callWaitMargin is added to a service's timeout for calls that run elsewhere.
+	callWaitMargin = 5 * time.Second
+)
+
+// call is a call that may not be repeated, run or awaited by this entry.
+type call struct {
+	q   *plainRequest
+	key string
+
+	// done is closed after result and fail are set.
+	done   chan struct{}
+	result *engine.PlainReply
+	fail   *errs.Error
+}
+
+func (c *call) tableKey() string { return c.q.org + "/" + c.key }
+
+// serveCall runs a call apart from the caller's connection, so that its outcome is
+// recorded in any case, and waits for it.
+func (q *plainRequest) serveCall(w http.ResponseWriter, r *http.Request) {
+	key, fail := idempotencyKey(r)
+	if fail != nil {
+		reply.Error(w, r, fail)
+		return
+	}
+	w.Header().Set(headerIdempotencyKey, key)
+	c := &call{q: q, key: key, done: make(chan struct{})}
+	if running := q.e.calls.get(c.tableKey()); running != nil && running.q.digest == q.digest {
+		c = running
+	} else {
+		q.e.background(func() { c.run(context.WithoutCancel(r.Context())) })
+	}
+	ctx, untrack := q.e.keys.track(r.Context(), q.id.KeyID)
+	defer untrack()
+	select {
+	case <-c.done:
+	case <-ctx.Done():
+		reply.Error(w, r, contextError(ctx).WithRun(errs.RunUnknown))
+		return
+	}
+	if c.fail != nil {
+		reply.Error(w, r, c.fail)
+		return
+	}
+	writePlain(w, r, c.result)
+}
+
+// idempotencyKey returns the caller's key, or a generated one.
+func idempotencyKey(r *http.Request) (string, *errs.Error) {
+	values := r.Header.Values(headerIdempotencyKey)
+	if len(values) == 0 {
+		return "gen-" + uuid.NewString(), nil
+	}
+	if len(values) > 1 || !validCallKey(values[0]) {
+		return "", errs.New(errs.BadRequest, "send one key of 1 to 256 visible ASCII characters without a slash", "the header %s is not valid", headerIdempotencyKey)
+	}
+	return values[0], nil
+}
+
+func validCallKey(key string) bool {
+	if key == "" || len(key) > maxNameLength {
+		return false
+	}
+	for _, b := range []byte(key) {
+		if b <= ' ' || b > '~' || b == '/' {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *call) close(res *engine.PlainReply, fail *errs.Error) {
+	c.result, c.fail = res, fail
+	close(c.done)
+}
+
+func (c *call) run(ctx context.Context) {
+	if fail := c.q.checkQuarantine(); fail != nil {
+		c.close(nil, fail)
+		return
+	}
+	until := time.Now().Add(c.q.timeout() + callWaitMargin)
+	for {
+		b, err := c.begin(ctx)
+		if err != nil {
+			c.close(nil, stateError(err))
+			return
+		}
+		if b.Begun {
+			c.dispatch(ctx)
+			return
+		}
+		if !c.await(ctx, &b.Call, until) {
+			return
+		}
+	}
+}
+
+// begin records the intent before anything is sent.
+func (c *call) begin(ctx context.Context) (*structs.BeginCallReply, error) {
+	cctx, cancel := c.q.e.commitContext(ctx)
+	defer cancel()
+	c.q.e.calls.beginning(c.tableKey())
+	b, err := c.q.e.state.BeginCall(cctx, c.q.org, structs.BeginCall{
+		Key:         c.key,
+		Service:     c.q.svc.Name,
+		Digest:      c.q.digest,
+		Entry:       c.q.e.incarn,
+		LiveEntries: c.q.e.config.snapshot().live,
+		Limits:      c.q.limits,
+	})
+	if err != nil || !b.Begun {
+		c.q.e.calls.begun(c.tableKey(), nil)
+		return b, err
+	}
+	c.q.e.calls.begun(c.tableKey(), c)
+	return b, nil
+}
+
+// await deals with a call that was begun before. It returns whether to begin again; if
+// not, the call is closed.
+func (c *call) await(ctx context.Context, rec *structs.Call, until time.Time) bool {
+	if rec.Digest != c.q.digest || rec.Service != c.q.svc.Name {
+		c.close(nil, errs.New(errs.IdempotencyMismatch, "use a new key for a new request", "the key %q was used for another request", c.key))
+		return false
+	}
+	switch rec.State {
+	case structs.CallFinished:
+		c.close(storedReply(rec), nil)
+		return false
+	case structs.CallUnknown:
+		c.closeUnknown(ctx, rec)
+		return false
+	case structs.CallNotRun:
+		return true
+	}
+	if rec.Entry == c.q.e.incarn && c.q.e.calls.idle(c.tableKey()) {
+		c.record(ctx, structs.FinishCall{State: structs.CallNotRun}) // begun, never dispatched
+		return true
+	}
+	if time.Now().After(until) || c.q.e.ctx.Err() != nil {
+		e := errs.New(errs.CallInProgress, "read the outcome with GET /v1/calls/{key}", "the call %q is still running", c.key)
+		c.close(nil, e.WithRun(errs.RunUnknown).WithRetryAfter(time.Second))
+		return false
+	}
+	qctx, cancel := c.q.e.commitContext(ctx)
+	defer cancel()
+	q := structs.CallQuery{Org: c.q.org, Key: c.key, Wait: inProgressWait}
+	if _, err := c.q.e.state.GetCall(qctx, q); err != nil {
+		sleep(c.q.e.ctx, inProgressPause)
+	}
+	return true
+}
+
+// dispatch sends the call. It is sent again only if the failure proves that no byte of
+// it has left this process.
+func (c *call) dispatch(ctx context.Context) {
+	defer c.q.e.calls.end(c.tableKey(), c)
+	stop := c.q.e.cancelOnStop(&ctx)
+	defer stop()
+	wait, untrack := c.q.e.keys.track(ctx, c.q.id.KeyID)
+	defer untrack()
+	for n := 1; ; n++ {
+		res, f, fail := c.q.attempt(wait, ctx, n, c.key)
+		switch {
+		case fail != nil:
+			c.closeNotRun(ctx, fail)
+		case f == nil:
+			c.q.e.retries.success(c.q.svc.Pool())
+			c.closeFinished(ctx, res)
+		case f.Written:
+			c.closeLost(ctx, f)
+		case n < maxDispatches && c.q.e.retries.take(c.q.svc.Pool()):
+			continue
+		default:
+			c.closeNotRun(ctx, targetFailed(f))
+		}
+		return
+	}
+}
+
+// closeNotRun answers at once and records the proof that the call was not run.
+func (c *call) closeNotRun(ctx context.Context, fail *errs.Error) {
+	c.close(nil, fail.WithRun(errs.NotRun))
+	c.recordFully(ctx, structs.FinishCall{State: structs.CallNotRun})
+}
+
+// closeFinished records the result before it is returned.
+func (c *call) closeFinished(ctx context.Context, res *engine.PlainReply) {
+	cmd := finishedCall(res)
+	if err := c.record(ctx, cmd); err != nil {
+		e := errs.New(errs.OutcomeUnknown, "read the outcome with GET /v1/calls/{key}; do not send the call under another key",
+			"the call was run, but its result could not be recorded in time")
+		c.close(nil, e.WithRun(errs.Ran).WithRetryAfter(time.Second))
+		c.recordFully(ctx, cmd)
+		return
+	}
+	c.close(res, nil)
+}
+
+// closeLost deals with a call that may have been run but has no answer.
+func (c *call) closeLost(ctx context.Context, f *engine.Failure) {
+	cmd := structs.FinishCall{State: structs.CallUnknown, Target: f.Target}
+	err := c.record(ctx, cmd)
+	c.closeUnknown(ctx, &structs.Call{Key: c.key, Service: c.q.svc.Name, Target: f.Target})
+	if err != nil {
+		c.recordFully(ctx, cmd)
+	}
+}
+
+// closeUnknown settles the call with the status query of its service, or answers that
+// its outcome is unknown.
+func (c *call) closeUnknown(ctx context.Context, rec *structs.Call) {
+	if settled := c.q.e.settle(ctx, c.q.org, c.q.svc, rec); settled != nil {
+		c.close(storedReply(settled), nil)
+		return
+	}
+	c.close(nil, outcomeUnknown(c.key))
+}
+
+func outcomeUnknown(key string) *errs.Error {
+	e := errs.New(errs.OutcomeUnknown, "check with the service whether the call was run, then ask the operator to resolve it; do not send it under another key",
+		"the outcome of the call %q is not known", key)
+	return e.WithRun(errs.RunUnknown)
+}
+
+func (c *call) record(ctx context.Context, cmd structs.FinishCall) error {
+	cctx, cancel := c.q.e.commitContext(ctx)
+	defer cancel()
+	cmd.Key, cmd.Entry = c.key, c.q.e.incarn
+	_, err := c.q.e.state.FinishCall(cctx, c.q.org, cmd)
+	if err != nil {
+		c.q.e.log.Info("call outcome not recorded yet", "key", c.key, "state", cmd.State, "error", err.Error())
+	}
+	return err
+}
+
+// recordFully tries to record an outcome until it is settled or the entry stops.
+func (c *call) recordFully(ctx context.Context, cmd structs.FinishCall) {
+	for {
+		err := c.record(ctx, cmd)
+		if err == nil || !outcomeUnsettled(err) || c.q.e.ctx.Err() != nil {
+			return
+		}
+		sleep(c.q.e.ctx, finishRetryPause)
+	}
+}
+
+// finishedCall returns the record of an answer.
+func finishedCall(res *engine.PlainReply) structs.FinishCall {
+	cmd := structs.FinishCall{
+		State:  structs.CallFinished,
+		Target: res.Target,
+		Status: res.Status,
+		Header: map[string]string{},
+		Body:   res.Body,
+	}
+	for name, values := range callerHeader(res.Header) {
+		if len(cmd.Header) < maxRecordedHeaders && len(values) > 0 && name != "Date" {
+			cmd.Header[name] = values[0]
+		}
+	}
+	if len(cmd.Body) > maxRecordedBody {
+		cmd.Body = nil
+		cmd.Header[headerBodyOmitted] = "true"
+	}
+	return cmd
+}
+
+// storedReply returns a recorded answer.
+func storedReply(rec *structs.Call) *engine.PlainReply {
+	h := http.Header{}
+	for name, v := range rec.Header {
+		h.Set(name, v)
+	}
+	status := rec.Status
+	if status == 0 {
+		status = http.StatusOK
+	}
+	return &engine.PlainReply{Target: rec.Target, Status: status, Header: h, Body: rec.Body}
+}
--- /dev/null
+++ b/entry/middleware/accesslog/accesslog.go
@@ -0,0 +1,61 @@
+package accesslog
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-logr/logr"
+	metrics "github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/trace"
+)
+
+const verbosity = 1 // one line per request is for debugging
+
+// New returns the middleware. It logs the path without the query, which may contain a
+// caller's key.
+func New(log logr.Logger, registry metrics.Registry) func(http.Handler) http.Handler {
+	timer := metrics.GetOrRegisterTimer("entry.http.duration", registry)
+	inFlight := metrics.GetOrRegisterCounter("entry.http.in_flight", registry)
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			start := time.Now()
+			inFlight.Inc(1)
+			rec := &recorder{ResponseWriter: w}
+			defer func() {
+				inFlight.Dec(1)
+				timer.UpdateSince(start)
+				class := strconv.Itoa(rec.status/100) + "xx"
+				metrics.GetOrRegisterCounter("entry.http.status."+class, registry).Inc(1)
+				log.V(verbosity).Info("request", "method", r.Method, "path", r.URL.Path, "status", rec.status,
+					"duration", time.Since(start).String(), "trace", trace.SpanContextFromContext(r.Context()).TraceID().String())
+			}()
+			next.ServeHTTP(rec, r)
+		})
+	}
+}
+
+// recorder remembers the status.
+type recorder struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (r *recorder) WriteHeader(status int) {
+	if r.status == 0 {
+		r.status = status
+	}
+	r.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (r *recorder) Write(b []byte) (int, error) {
+	if r.status == 0 {
+		r.status = http.StatusOK
+	}
+	return r.ResponseWriter.Write(b)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (r *recorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
--- /dev/null
+++ b/entry/middleware/accesslog/doc.go
@@ -0,0 +1,2 @@
+// Package accesslog counts, times and logs requests.
+package accesslog
--- /dev/null
+++ b/entry/middleware/closing/closing.go
@@ -0,0 +1,15 @@
+package closing
+
+import "net/http"
+
+// New returns the middleware; draining tells whether the planned stop has begun.
+func New(draining func() bool) func(http.Handler) http.Handler {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if draining() {
+				w.Header().Set("Connection", "close")
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
--- /dev/null
+++ b/entry/middleware/confirmed/doc.go
@@ -0,0 +1,2 @@
+// Package confirmed refuses requests while the entry's configuration is not confirmed.
+package confirmed
--- /dev/null
+++ b/entry/plain.go
@@ -0,0 +1,311 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/figlb/figlb/engine"
+	"github.com/figlb/figlb/entry/middleware/auth"
+	"github.com/figlb/figlb/entry/middleware/bodylimit"
+	"github.com/figlb/figlb/entry/reply"
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/structs"
+)
+
+const (
+	defaultPlainTimeout = 30 * time.Second
+	// openOrganisation holds the bucket and the calls of open routes. The character
+	// keeps it apart from declared names. openRate (requests per second) and openBurst
+	// bound what callers without a key can cause.
+	openOrganisation = "~open"
+	openRate         = 100
+	openBurst        = 200
+)
+
+// plainRequest is a request to a plain service.
+type plainRequest struct {
+	e      *Entry
+	id     auth.Identity // the zero value on open routes
+	org    string
+	weight int
+	limits structs.Limits
+	svc    *structs.Service
+	method string
+	uri    string
+	header http.Header
+	body   []byte
+	digest string
+
+	exclude []string
+	crashes int
+}
+
+// handlePlain serves all paths that are not figlb's own.
+func (e *Entry) handlePlain(w http.ResponseWriter, r *http.Request) {
+	svc := e.config.snapshot().plainService(r.URL.Path)
+	if svc == nil {
+		reply.Error(w, r, errs.New(errs.NotFound, "use a declared path", "no service has the path %q", r.URL.Path))
+		return
+	}
+	q, fail := e.newPlain(r, svc)
+	if fail != nil {
+		reply.Error(w, r, fail)
+		return
+	}
+	if svc.Repeatable {
+		q.serveRepeatable(w, r)
+		return
+	}
+	q.serveCall(w, r)
+}
+
+func (e *Entry) openRoute(r *http.Request) bool {
+	svc := e.config.snapshot().plainService(r.URL.Path)
+	return svc != nil && svc.Open
+}
+
+func (e *Entry) newPlain(r *http.Request, svc *structs.Service) (*plainRequest, *errs.Error) {
+	q := &plainRequest{
+		e:      e,
+		svc:    svc,
+		method: r.Method,
+		uri:    r.URL.RequestURI(),
+		header: targetHeader(r.Header),
+		body:   bodylimit.Body(r),
+	}
+	q.digest = q.requestDigest()
+	if svc.Open {
+		q.org, q.weight = openOrganisation, 1
+		q.limits = structs.Limits{Revision: e.config.snapshot().revision, Rate: openRate, Burst: openBurst}
+		return q, nil
+	}
+	q.id = auth.FromContext(r.Context())
+	o, limits, fail := e.organisation(q.id)
+	if fail != nil {
+		return nil, fail
+	}
+	q.org, q.weight, q.limits = o.Name, o.Weight, limits
+	return q, nil
+}
+
+func (q *plainRequest) requestDigest() string {
+	h := sha256.New()
+	for _, part := range []string{q.svc.Name, q.method, q.uri, q.header.Get("Content-Type"), string(q.body)} {
+		h.Write(strconv.AppendInt(nil, int64(len(part)), 10))
+		h.Write([]byte{':'})
+		h.Write([]byte(part))
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func (q *plainRequest) timeout() time.Duration {
+	if q.svc.Timeout > 0 {
+		return q.svc.Timeout
+	}
+	return defaultPlainTimeout
+}
+
+// serveRepeatable runs a call that may be repeated. It ends when its caller leaves.
+func (q *plainRequest) serveRepeatable(w http.ResponseWriter, r *http.Request) {
+	ctx, done := q.e.keys.track(r.Context(), q.id.KeyID)
+	defer done()
+	stop := q.e.cancelOnStop(&ctx)
+	defer stop()
+	res, fail := q.runRepeatable(ctx)
+	if fail != nil {
+		reply.Error(w, r, fail)
+		return
+	}
+	writePlain(w, r, res)
+}
+
+// cancelOnStop makes ctx end when the entry stops.
+func (e *Entry) cancelOnStop(ctx *context.Context) (stop func()) {
+	c, cancel := context.WithCancelCause(*ctx)
+	*ctx = c
+	unregister := context.AfterFunc(e.ctx, func() { cancel(context.Cause(e.ctx)) })
+	return func() {
+		unregister()
+		cancel(nil)
+	}
+}
+
+func (q *plainRequest) runRepeatable(ctx context.Context) (*engine.PlainReply, *errs.Error) {
+	if fail := q.checkQuarantine(); fail != nil {
+		return nil, fail
+	}
+	if err := q.e.state.Debit(ctx, q.org, structs.Debit{Limits: q.limits}); err != nil {
+		return nil, stateError(err)
+	}
+	written := false
+	for n := 1; ; n++ {
+		res, f, fail := q.attempt(ctx, ctx, n, "")
+		if fail != nil && written && fail.Run == errs.NotRun {
+			fail = fail.WithRun(errs.RunUnknown)
+		}
+		if fail != nil {
+			return nil, fail
+		}
+		if f == nil && !busyStatus(res.Status) {
+			q.e.retries.success(q.svc.Pool())
+			return res, nil
+		}
+		if f != nil && ctx.Err() != nil {
+			return nil, contextError(ctx).WithRun(runState(f))
+		}
+		written = written || f == nil || f.Written
+		if q.crashes >= maxCrashes {
+			fp := structs.Fingerprint{Digest: q.digest, ExpiresAt: time.Now().Add(quarantineTime).Unix()}
+			q.e.addFingerprint(ctx, fp)
+			return nil, quarantined(&fp).WithRun(errs.Ran)
+		}
+		if n < maxDispatches && q.e.retries.take(q.svc.Pool()) {
+			continue
+		}
+		if f == nil {
+			return res, nil // the target's own refusal is a whole answer
+		}
+		return nil, q.failed(f, written)
+	}
+}
+
+func (q *plainRequest) failed(f *engine.Failure, written bool) *errs.Error {
+	e := targetFailed(f)
+	if written {
+		return e.WithRun(errs.RunUnknown)
+	}
+	return e
+}
+
+// busyStatus reports whether an answer tells that the target could not take the request.
+func busyStatus(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+func (q *plainRequest) checkQuarantine() *errs.Error {
+	if f, ok := q.e.config.snapshot().quarantined(q.digest, time.Now()); ok {
+		return quarantined(f)
+	}
+	return nil
+}
+
+// attempt dispatches once. wait bounds the time in the queue, ctx the exchange with the
+// target. It returns a typed error if the request has not been dispatched, else the
+// target's answer or failure. callKey marks a call that may not be repeated.
+func (q *plainRequest) attempt(wait, ctx context.Context, n int, callKey string) (*engine.PlainReply, *engine.Failure, *errs.Error) {
+	asg, fail := q.assign(wait)
+	if fail != nil {
+		return nil, nil, fail
+	}
+	if fail := q.admit(); fail != nil {
+		q.release(asg, structs.OutcomeCancelled, 0)
+		return nil, nil, fail
+	}
+	header := q.header
+	if callKey != "" {
+		header = header.Clone()
+		header.Set(headerCallKey, callKey)
+	}
+	start := time.Now()
+	res, f := q.e.client.Plain(ctx, engine.PlainRequest{
+		Address:   asg.Address,
+		RequestID: uuid.NewString(),
+		Method:    q.method,
+		URI:       q.uri,
+		Header:    header,
+		Body:      q.body,
+		Timeout:   q.timeout(),
+		Fresh:     callKey != "",
+	})
+	q.release(asg, plainOutcome(res, f), time.Since(start))
+	if f != nil {
+		f.Target = asg.Target
+		q.note(asg, f)
+	} else {
+		res.Target = asg.Target
+	}
+	return res, f, nil
+}
+
+// admit repeats the checks after the wait in the queue, right before the dispatch.
+func (q *plainRequest) admit() *errs.Error {
+	if fail := q.e.admit(q.id); fail != nil {
+		return fail
+	}
+	return q.checkQuarantine()
+}
+
+func (q *plainRequest) assign(ctx context.Context) (*structs.Assignment, *errs.Error) {
+	req := &structs.AssignRequest{
+		ID:      uuid.NewString(),
+		Entry:   q.e.incarn,
+		Zone:    q.e.opts.Settings.Zone,
+		Pool:    q.svc.Pool(),
+		Org:     q.org,
+		Weight:  q.weight,
+		Service: q.svc.Name,
+		Class:   q.svc.Class,
+		Exclude: q.exclude,
+	}
+	asg, err := q.e.sched.Assign(ctx, req)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, contextError(ctx).WithRun(errs.NotRun)
+		}
+		return nil, assignError(err)
+	}
+	q.e.slots.add(req.Pool, structs.SlotInfo{Slot: asg.Slot, Target: asg.Target, Org: q.org})
+	return asg, nil
+}
+
+func (q *plainRequest) release(asg *structs.Assignment, o structs.Outcome, d time.Duration) {
+	q.e.release(structs.ReleaseSlot{
+		Pool: q.svc.Pool(), Entry: q.e.incarn, Slot: asg.Slot, Target: asg.Target, Outcome: o, Duration: d,
+	})
+}
+
+func (q *plainRequest) note(asg *structs.Assignment, f *engine.Failure) {
+	q.exclude = append(q.exclude, asg.Target)
+	if f.Outcome == structs.OutcomeCrash {
+		q.crashes++
+	}
+	q.e.log.Info("target failed", "target", asg.Target, "outcome", f.Outcome, "error", cause(f), "service", q.svc.Name)
+}
+
+func plainOutcome(res *engine.PlainReply, f *engine.Failure) structs.Outcome {
+	switch {
+	case f != nil:
+		return f.Outcome
+	case busyStatus(res.Status):
+		return structs.OutcomeRefused
+	case res.Status >= http.StatusInternalServerError:
+		return structs.OutcomeError
+	}
+	return structs.OutcomeOK
+}
+
+// writePlain passes a target's complete answer to the caller.
+func writePlain(w http.ResponseWriter, r *http.Request, res *engine.PlainReply) {
+	for name, values := range callerHeader(res.Header) {
+		w.Header()[name] = values
+	}
+	if r.Method == http.MethodHead {
+		if n := res.Header.Get("Content-Length"); n != "" {
+			w.Header().Set("Content-Length", n)
+		}
+	} else if res.Status != http.StatusNoContent && res.Status != http.StatusNotModified {
+		w.Header().Set("Content-Length", strconv.Itoa(len(res.Body)))
+	}
+	w.WriteHeader(res.Status)
+	_, _ = w.Write(res.Body) // a caller that left is not an error of this process
+}
--- /dev/null
+++ b/entry/reply/doc.go
@@ -0,0 +1,2 @@
+// Package reply writes JSON answers and typed errors to callers.
+package reply
--- /dev/null
+++ b/entry/reply/reply.go
@@ -0,0 +1,70 @@
+package reply
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/figlb/figlb/errs"
+)
+
+type errorBody struct {
+	Code         errs.Code     `json:"code"`
+	Message      string        `json:"message"`
+	Remedy       string        `json:"remedy"`
+	Run          errs.RunState `json:"run"`
+	RetryAfterMS int64         `json:"retry_after_ms"`
+	TraceID      string        `json:"trace_id"`
+}
+
+// ErrorJSON returns the error object callers see.
+func ErrorJSON(ctx context.Context, e *errs.Error) []byte {
+	body := map[string]errorBody{"error": {
+		Code:         e.Code,
+		Message:      e.Message,
+		Remedy:       e.Remedy,
+		Run:          e.Run,
+		RetryAfterMS: e.RetryAfter.Milliseconds(),
+		TraceID:      trace.SpanContextFromContext(ctx).TraceID().String(),
+	}}
+	out, err := json.Marshal(body)
+	if err != nil { // only strings and numbers: cannot fail
+		panic(err)
+	}
+	return out
+}
+
+// Error writes e with its status and Retry-After.
+func Error(w http.ResponseWriter, r *http.Request, e *errs.Error) {
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry-After", retryAfterSeconds(e.RetryAfter))
+	}
+	write(w, e.HTTPStatus(), ErrorJSON(r.Context(), e))
+}
+
+// retryAfterSeconds rounds up: the header has whole seconds.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+// JSON writes v with a status.
+func JSON(w http.ResponseWriter, r *http.Request, status int, v any) {
+	out, err := json.Marshal(v)
+	if err != nil {
+		Error(w, r, errs.From(err))
+		return
+	}
+	write(w, status, out)
+}
+
+func write(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // a caller that left is not an error of this process
+}
--- /dev/null
+++ b/entry/server.go
@@ -0,0 +1,247 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"path"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/core/service"
+	gztrace "github.com/zeromicro/go-zero/core/trace"
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/chain"
+	"github.com/zeromicro/go-zero/rest/httpx"
+	"github.com/zeromicro/go-zero/rest/router"
+
+	"github.com/figlb/figlb/entry/middleware/accesslog"
+	"github.com/figlb/figlb/entry/middleware/auth"
+	"github.com/figlb/figlb/entry/middleware/bodylimit"
+	"github.com/figlb/figlb/entry/middleware/closing"
+	"github.com/figlb/figlb/entry/middleware/confirmed"
+	"github.com/figlb/figlb/entry/middleware/recovery"
+	"github.com/figlb/figlb/entry/middleware/tracing"
+	"github.com/figlb/figlb/entry/reply"
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/telemetry"
+)
+
+const (
+	serverName        = "figlb-entry"
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is above the usual idle timeout of balancers (60 s), so that the
+	// balancer closes idle connections and not the entry.
+	idleTimeout    = 75 * time.Second
+	maxHeaderBytes = 64 << 10
+	// stopGrace is the time for the last error events after the drain deadline.
+	stopGrace = 2 * time.Second
+	// forceQuitMargin is the time between the end of the drain and go-zero's forced
+	// end of the process, which is after 5.5 s by default.
+	forceQuitMargin = 15 * time.Second
+)
+
+// Server is the HTTP server of an entry.
+type Server struct {
+	e    *Entry
+	http *http.Server
+	addr string
+	done chan error
+}
+
+// Listen starts the HTTP server on the listen address of the settings. Port 0 picks a
+// free port.
+func (e *Entry) Listen() (*Server, error) {
+	conf, err := e.restConf()
+	if err != nil {
+		return nil, err
+	}
+	r := &chainRouter{Router: router.NewRouter()}
+	r.handler = e.outerChain().Then(r.Router)
+	srv, err := rest.NewServer(conf, rest.WithRouter(r), rest.WithTLSConfig(&tls.Config{MinVersion: tls.VersionTLS12}))
+	if err != nil {
+		return nil, errors.Wrap(err, "set up the HTTP server")
+	}
+	logx.Disable() // NewServer sets up go-zero's own log; figlb's log is logr
+	e.addRoutes(srv, r)
+	s := &Server{e: e, done: make(chan error, 1)}
+	return s, s.start(srv)
+}
+
+func (e *Entry) restConf() (rest.RestConf, error) {
+	host, portText, err := net.SplitHostPort(e.opts.Settings.Listen)
+	if err != nil {
+		return rest.RestConf{}, errors.Wrap(err, "listen address")
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return rest.RestConf{}, errors.Wrap(err, "listen port")
+	}
+	notice, deadline := e.opts.Settings.DrainNotice, e.opts.Settings.DrainDeadline
+	// The zero value of Middlewares turns all of go-zero's middlewares off, and the
+	// zero Timeout its read and write timeouts, which would cut streams.
+	return rest.RestConf{
+		Host:     host,
+		Port:     port,
+		CertFile: e.opts.TLS.CallerCert,
+		KeyFile:  e.opts.TLS.CallerKey,
+		ServiceConf: service.ServiceConf{
+			Name:      serverName,
+			Telemetry: gztrace.Config{Disabled: true}, // package telemetry starts it
+			Shutdown: proc.ShutdownConf{
+				WrapUpTime: notice + time.Second,
+				WaitTime:   notice + deadline + forceQuitMargin,
+			},
+		},
+	}, nil
+}
+
+// start runs the server and waits until it listens.
+func (s *Server) start(srv *rest.Server) error {
+	listening := make(chan string, 1)
+	option := func(h *http.Server) {
+		s.http = h
+		h.ReadHeaderTimeout = readHeaderTimeout
+		h.IdleTimeout = idleTimeout
+		h.MaxHeaderBytes = maxHeaderBytes
+		h.BaseContext = func(l net.Listener) context.Context {
+			listening <- l.Addr().String()
+			return context.Background()
+		}
+	}
+	go func() {
+		defer func() { s.done <- errors.Errorf("HTTP server: %v", recover()) }()
+		srv.StartWithOpts(option)
+	}()
+	select {
+	case s.addr = <-listening:
+		return nil
+	case err := <-s.done:
+		return err
+	}
+}
+
+// Addr returns the address the server listens on.
+func (s *Server) Addr() string { return s.addr }
+
+// Failed receives the reason if the server ends by itself.
+func (s *Server) Failed() <-chan error { return s.done }
+
+// chainRouter runs the middlewares for all requests, with a route or without.
+type chainRouter struct {
+	httpx.Router
+	handler http.Handler
+}
+
+// ServeHTTP implements http.Handler.
+func (r *chainRouter) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r.handler.ServeHTTP(w, req)
+}
+
+func (e *Entry) outerChain() chain.Chain {
+	return chain.New(
+		tracing.New(),
+		accesslog.New(e.log, e.metrics),
+		recovery.New(e.log),
+		closing.New(e.draining.Load),
+	)
+}
+
+// innerChain admits requests that run something or show data.
+func (e *Entry) innerChain(open func(*http.Request) bool) chain.Chain {
+	s := e.opts.Settings
+	return chain.New(
+		confirmed.New(e.config.check),
+		auth.New(e.lookupKey, open, redact),
+		bodylimit.New(s.MaxBodyBytes, s.BodyTimeout),
+	)
+}
+
+func (e *Entry) addRoutes(srv *rest.Server, r httpx.Router) {
+	withKey := e.innerChain(func(*http.Request) bool { return false })
+	for _, route := range []rest.Route{
+		{Method: http.MethodPost, Path: "/v1/chat/completions", Handler: e.handleChat},
+		{Method: http.MethodGet, Path: "/v1/models", Handler: e.handleModels},
+		{Method: http.MethodPost, Path: "/v1/programs", Handler: e.handleOpenProgram},
+		{Method: http.MethodGet, Path: "/v1/programs/:id", Handler: e.handleGetProgram},
+		{Method: http.MethodPost, Path: "/v1/programs/:id/end", Handler: e.handleEndProgram},
+		{Method: http.MethodGet, Path: "/v1/programs/:id/turns/:n", Handler: e.handleGetTurn},
+		{Method: http.MethodGet, Path: "/v1/calls/:key", Handler: e.handleGetCall},
+	} {
+		route.Handler = withKey.ThenFunc(route.Handler).ServeHTTP
+		srv.AddRoute(route)
+	}
+	srv.AddRoute(rest.Route{Method: http.MethodGet, Path: "/readyz", Handler: telemetry.ReadyHandler(e.Ready)})
+	plain := cleanPaths(e.innerChain(e.openRoute).ThenFunc(e.handlePlain))
+	r.SetNotFoundHandler(plain)
+	r.SetNotAllowedHandler(plain)
+}
+
+// plainMethods are the methods that plain services may be called with.
+var plainMethods = map[string]bool{
+	http.MethodGet: true, http.MethodHead: true, http.MethodPost: true, http.MethodPut: true,
+	http.MethodPatch: true, http.MethodDelete: true, http.MethodOptions: true,
+}
+
+// cleanPaths refuses paths such as /a/../b, which a target may resolve to a path
+// outside the service's prefix.
+func cleanPaths(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		clean := path.Clean(r.URL.Path)
+		if r.URL.Path != clean && r.URL.Path != clean+"/" {
+			reply.Error(w, r, errs.New(errs.BadRequest, "send the path without empty and dot segments", "the path is not clean"))
+			return
+		}
+		if !plainMethods[r.Method] {
+			reply.Error(w, r, errs.New(errs.BadRequest, "use another method", "the method %s is not supported", r.Method))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Drain is the planned stop: the entry becomes unready at once and still serves during
+// the drain notice, then the listener closes and requests end within the drain
+// deadline. What is left after it ends with a typed error. It returns when all work has
+// ended.
+func (s *Server) Drain() {
+	e := s.e
+	e.draining.Store(true)
+	e.log.Info("stopping", "notice", e.opts.Settings.DrainNotice.String(), "deadline", e.opts.Settings.DrainDeadline.String())
+	time.Sleep(e.opts.Settings.DrainNotice)
+	ctx, cancel := context.WithTimeout(context.Background(), e.opts.Settings.DrainDeadline)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		e.log.Info("requests left at the drain deadline", "error", err.Error())
+	}
+	waitFor(ctx, e.work.Wait)
+	s.Close()
+}
+
+// Close ends all work at once: running requests end with a typed error.
+func (s *Server) Close() {
+	s.e.draining.Store(true)
+	s.e.stop(drainDeadlinePassed())
+	ctx, cancel := context.WithTimeout(context.Background(), stopGrace)
+	defer cancel()
+	_ = s.http.Shutdown(ctx) // what is left after the grace is closed
+	_ = s.http.Close()
+	s.e.Close()
+}
+
+// waitFor returns when wait has returned or ctx has ended.
+func waitFor(ctx context.Context, wait func()) {
+	done := make(chan struct{})
+	go func() {
+		wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
