Join the entry to the clients of the state and of the schedulers

The entry's interfaces are the methods of stateclient.Client and schedclient.Client, so no adapter is needed. schedclient reports the slots in use, so the entry's own table of slots is gone. Retries ask the scheduler's budget, which counts for all entries; the entry's own budget decides while the scheduler does not answer. Services without a limit of output tokens get 4096, because the state refuses a turn without a limit.

--- a/cmd/figlb-entry/connect.go
+++ b/cmd/figlb-entry/connect.go
@@ -1,17 +1,32 @@
 package main
 
 import (
-	"github.com/pkg/errors"
-
+	"github.com/figlb/figlb/dispatch/schedclient"
 	"github.com/figlb/figlb/entry"
+	"github.com/figlb/figlb/pki"
 	"github.com/figlb/figlb/settings"
+	"github.com/figlb/figlb/stateclient"
 )
 
 // connect returns the clients of the replicated state and of the schedulers, and a
 // function that closes them.
-//
-// JOIN: build stateclient from f.Entry.State, f.Entry.Groups and f.TLS here, and return
-// it for both interfaces.
-func connect(f *settings.EntryFile) (entry.State, entry.Scheduler, func(), error) {
-	return nil, nil, nil, errors.New("the state client is not part of this build")
+func connect(f *settings.EntryFile, incarnation string) (entry.State, entry.Scheduler, func(), error) {
+	tlsConf, err := pki.Config(f.TLS)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	state, err := stateclient.New(f.Entry.State, f.Entry.Groups, tlsConf)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	sched := schedclient.New(schedclient.Options{
+		Entry:    incarnation,
+		Groups:   f.Entry.Groups,
+		Resolver: state,
+		Dial:     func(addr string) schedclient.Caller { return state.Conn(addr) },
+	})
+	return state, sched, func() {
+		sched.Close()
+		state.Close()
+	}, nil
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -192,7 +192,7 @@
 			c.closeFinished(ctx, res)
 		case f.Written:
 			c.closeLost(ctx, f)
-		case n < maxDispatches && c.q.e.retries.take(c.q.svc.Pool()):
+		case n < maxDispatches && c.q.e.allowRetry(ctx, c.q.svc.Pool()):
 			continue
 		default:
 			c.closeNotRun(ctx, targetFailed(f))
--- a/entry/commit.go
+++ b/entry/commit.go
@@ -85,7 +85,8 @@
 func (g *generation) finish(ctx context.Context, cmd structs.FinishTurn) error {
 	cctx, cancel := g.t.e.commitContext(ctx)
 	defer cancel()
-	return g.t.e.state.FinishTurn(cctx, g.t.id.Org, cmd)
+	_, err := g.t.e.state.FinishTurn(cctx, g.t.id.Org, cmd)
+	return err
 }
 
 // finishLater goes on trying to record an outcome, so that the turn does not stay
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,13 +52,15 @@
 
 // Options configure an Entry.
 type Options struct {
-	Settings  settings.Entry
-	TLS       settings.TLS
-	State     State
-	Scheduler Scheduler
-	Log       logr.Logger
-	Metrics   metrics.Registry
-	Timing    Timing
+	Settings settings.Entry
+	TLS      settings.TLS
+	// Incarnation names this run of the process; see NewIncarnation.
+	Incarnation string
+	State       State
+	Scheduler   Scheduler
+	Log         logr.Logger
+	Metrics     metrics.Registry
+	Timing      Timing
 }
 
 // Entry serves callers.
@@ -73,7 +75,6 @@
 	config    *follower
 	client    *engine.Client
 	retries   *retryBudget
-	slots     *slotTable
 	histories *historyCache
 	turns     *liveTable[turn]
 	calls     *liveTable[call]
@@ -87,19 +88,21 @@
 	draining atomic.Bool
 }
 
-// New returns an entry that has not started. Its incarnation is random.
+// NewIncarnation returns the name of a new run of an entry.
+func NewIncarnation(id string) string { return id + "/" + uuid.NewString() }
+
+// New returns an entry that has not started.
 func New(opts Options) *Entry {
 	e := &Entry{
 		opts:      opts,
 		timing:    opts.Timing.withDefaults(),
-		incarn:    opts.Settings.ID + "/" + uuid.NewString(),
+		incarn:    opts.Incarnation,
 		state:     opts.State,
 		sched:     opts.Scheduler,
 		log:       opts.Log,
 		metrics:   opts.Metrics,
 		client:    engine.NewClient(opts.Timing.Engine),
 		retries:   newRetryBudget(time.Now),
-		slots:     newSlotTable(),
 		histories: newHistoryCache(historyCacheBytes),
 		turns:     newLiveTable[turn](),
 		calls:     newLiveTable[call](),
@@ -120,10 +123,9 @@
 	return e
 }
 
-// Start begins to follow the configuration and to report slots. Close ends both.
+// Start begins to follow the configuration. Close ends it.
 func (e *Entry) Start() {
 	e.loops.Go(func() { e.config.run(e.ctx) })
-	e.loops.Go(func() { e.reportSlots(e.ctx) })
 }
 
 // Close ends all work at once.
@@ -206,6 +208,11 @@
 	return o, s.limits(o), nil
 }
 
+// queryContext bounds a query that may wait on purpose.
+func (e *Entry) queryContext(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, e.timing.CommitWait+wait)
+}
+
 // commitContext bounds a command to the state; it does not depend on a caller.
 func (e *Entry) commitContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.WithoutCancel(ctx), e.timing.CommitWait)
--- a/entry/fakestate_test.go
+++ b/entry/fakestate_test.go
@@ -58,7 +58,7 @@
 
 func lost() error { return errs.New(errs.Uncertain, "ask again", "no reply") }
 
-func (f *fakeState) ConfirmConfig(_ context.Context, req structs.ConfirmConfig) (*structs.ConfirmReply, error) {
+func (f *fakeState) Confirm(_ context.Context, req structs.ConfirmConfig) (*structs.ConfirmReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cutOff {
@@ -73,10 +73,10 @@
 	return r, nil
 }
 
-func (f *fakeState) AddFingerprint(_ context.Context, fp structs.Fingerprint) error {
+func (f *fakeState) AddFingerprint(_ context.Context, _ string, fp structs.Fingerprint) (*structs.ConfigReply, error) {
 	f.set(structs.KindFingerprint, fp.Digest, fp)
 	f.change(func() { f.finger = append(f.finger, fp) })
-	return nil
+	return &structs.ConfigReply{}, nil
 }
 
 func (f *fakeState) OpenProgram(_ context.Context, org string, q structs.OpenProgram) (*structs.Program, error) {
@@ -169,15 +169,15 @@
 	return r, nil
 }
 
-func (f *fakeState) FinishTurn(_ context.Context, org string, q structs.FinishTurn) error {
+func (f *fakeState) FinishTurn(_ context.Context, org string, q structs.FinishTurn) (*structs.Program, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failFinish {
-		return lost()
+		return nil, lost()
 	}
 	t := f.turns[org+q.Program][q.Turn-1]
 	if t.Attempt != q.Attempt || t.State != structs.TurnRunning {
-		return errs.New(errs.Superseded, "read the turn", "attempt %d is over", q.Attempt)
+		return nil, errs.New(errs.Superseded, "read the turn", "attempt %d is over", q.Attempt)
 	}
 	f.finishes = append(f.finishes, q)
 	t.State = structs.TurnFailed
@@ -186,7 +186,7 @@
 		t.State, t.Answer, t.FinishReason, t.Usage = structs.TurnAnswered, q.Answer, q.FinishReason, q.Usage
 		f.programs[org+q.Program].Answered = q.Turn
 	}
-	return nil
+	return f.programs[org+q.Program], nil
 }
 
 // poll repeats get until it returns true or the wait is over.
@@ -282,6 +282,8 @@
 	// hold, if set, blocks Assign until it is closed.
 	hold chan struct{}
 	fail error
+	// noRetry tells that the retry budget is used up.
+	noRetry bool
 }
 
 func (s *fakeScheduler) Assign(ctx context.Context, req *structs.AssignRequest) (*structs.Assignment, error) {
@@ -327,4 +329,8 @@
 	return nil
 }
 
-func (s *fakeScheduler) Report(context.Context, *structs.ReportSlots) error { return nil }
+func (s *fakeScheduler) AllowRetry(context.Context, string) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.noRetry, nil
+}
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -24,7 +24,7 @@
 
 // confirmer is the part of State that the follower uses.
 type confirmer interface {
-	ConfirmConfig(ctx context.Context, req structs.ConfirmConfig) (*structs.ConfirmReply, error)
+	Confirm(ctx context.Context, poll structs.ConfirmConfig) (*structs.ConfirmReply, error)
 }
 
 // follower keeps the entry's configuration current.
@@ -79,7 +79,7 @@
 	info := f.info
 	info.Revision = cur.revision
 	info.Draining = f.draining()
-	r, err := f.state.ConfirmConfig(ctx, structs.ConfirmConfig{Entry: info, Incarnation: f.incarn, Revision: cur.revision})
+	r, err := f.state.Confirm(ctx, structs.ConfirmConfig{Entry: info, Incarnation: f.incarn, Revision: cur.revision})
 	if err != nil {
 		return err
 	}
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -97,7 +97,7 @@
 		return e, false
 	}
 	remaining := g.remaining()
-	if remaining < 0 {
+	if remaining == 0 {
 		g.succeed(ctx, engine.ChatResult{FinishReason: finishLength})
 		return nil, false
 	}
@@ -133,20 +133,9 @@
 	return nil
 }
 
-// remaining returns how many tokens the engine may still generate; 0: no limit, -1:
-// none.
+// remaining returns how many tokens the engine may still generate.
 func (g *generation) remaining() int64 {
-	limit := g.t.maxTokens()
-	if g.begin.MaxTokens > 0 && (limit == 0 || g.begin.MaxTokens < limit) {
-		limit = g.begin.MaxTokens
-	}
-	if limit == 0 {
-		return 0
-	}
-	if g.answer.chunks >= limit {
-		return -1
-	}
-	return limit - g.answer.chunks
+	return max(0, g.begin.MaxTokens-g.answer.chunks)
 }
 
 func (g *generation) assign(ctx context.Context) (*structs.Assignment, *errs.Error) {
@@ -167,7 +156,7 @@
 		Turn:         g.begin.Turn.N,
 		ProgramAge:   age + time.Since(g.started),
 		PromptTokens: g.prefix.total,
-		MaxTokens:    max(g.remaining(), 0),
+		MaxTokens:    g.remaining(),
 		Prefix:       g.prefix.hashes,
 		PrefixTokens: g.prefix.tokens,
 		Exclude:      g.exclude,
@@ -182,9 +171,6 @@
 		}
 		return nil, g.runState(assignError(err))
 	}
-	t.e.slots.add(req.Pool, structs.SlotInfo{
-		Slot: asg.Slot, Target: asg.Target, Org: req.Org, Program: t.program, PromptTokens: req.PromptTokens,
-	})
 	return asg, nil
 }
 
@@ -228,10 +214,8 @@
 		"stream":         true,
 		"stream_options": map[string]bool{"include_usage": true},
 		"priority":       classPriority[t.svc.Class],
+		"max_tokens":     remaining,
 	})
-	if remaining > 0 {
-		out["max_tokens"] = remaining
-	}
 	if !t.implicit {
 		out["session_id"] = t.program
 	}
@@ -300,7 +284,7 @@
 	if !g.resume() {
 		return targetFailed(f).WithRun(errs.RunUnknown), false
 	}
-	if len(g.targets) >= maxDispatches || !g.t.e.retries.take(g.t.svc.Pool()) {
+	if len(g.targets) >= maxDispatches || !g.t.e.allowRetry(ctx, g.t.svc.Pool()) {
 		return g.runState(targetFailed(f)), false
 	}
 	return nil, true
@@ -344,7 +328,7 @@
 	e.background(func() {
 		cctx, cancel := e.commitContext(ctx)
 		defer cancel()
-		if err := e.state.AddFingerprint(cctx, f); err != nil {
+		if _, err := e.state.AddFingerprint(cctx, e.incarn, f); err != nil {
 			e.log.Error(err, "fingerprint not recorded", "digest", f.Digest)
 		}
 	})
--- a/entry/interfaces.go
+++ b/entry/interfaces.go
@@ -6,7 +6,7 @@
 	"github.com/figlb/figlb/structs"
 )
 
-// State is the replicated state as the entry uses it. Errors are *errs.Error for
+// State is the replicated state as the entry uses it; *stateclient.Client implements it. Errors are *errs.Error for
 // refusals; errs.Uncertain, errs.Unavailable and context errors mean that a command
 // may or may not be recorded.
 type State interface {
@@ -15,7 +15,7 @@
 	GetProgram(ctx context.Context, req structs.ProgramQuery) (*structs.Program, error)
 
 	BeginTurn(ctx context.Context, org string, req structs.BeginTurn) (*structs.BeginTurnReply, error)
-	FinishTurn(ctx context.Context, org string, req structs.FinishTurn) error
+	FinishTurn(ctx context.Context, org string, req structs.FinishTurn) (*structs.Program, error)
 	GetTurn(ctx context.Context, req structs.TurnQuery) (*structs.Turn, error)
 
 	BeginCall(ctx context.Context, org string, req structs.BeginCall) (*structs.BeginCallReply, error)
@@ -25,14 +25,16 @@
 
 	Debit(ctx context.Context, org string, req structs.Debit) error
 
-	ConfirmConfig(ctx context.Context, req structs.ConfirmConfig) (*structs.ConfirmReply, error)
-	AddFingerprint(ctx context.Context, req structs.Fingerprint) error
+	Confirm(ctx context.Context, poll structs.ConfirmConfig) (*structs.ConfirmReply, error)
+	AddFingerprint(ctx context.Context, author string, f structs.Fingerprint) (*structs.ConfigReply, error)
 }
 
-// Scheduler assigns requests to targets.
+// Scheduler assigns requests to targets; *schedclient.Client implements it. It reports
+// the slots in use to the schedulers from Assign until Release.
 type Scheduler interface {
 	// Assign waits in the scheduler's queue until a target has a free slot.
 	Assign(ctx context.Context, req *structs.AssignRequest) (*structs.Assignment, error)
 	Release(ctx context.Context, req *structs.ReleaseSlot) error
-	Report(ctx context.Context, req *structs.ReportSlots) error
+	// AllowRetry asks whether the pool's retry budget allows a retry now.
+	AllowRetry(ctx context.Context, pool string) (bool, error)
 }
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -165,7 +165,7 @@
 			q.e.addFingerprint(ctx, fp)
 			return nil, quarantined(&fp).WithRun(errs.Ran)
 		}
-		if n < maxDispatches && q.e.retries.take(q.svc.Pool()) {
+		if n < maxDispatches && q.e.allowRetry(ctx, q.svc.Pool()) {
 			continue
 		}
 		if f == nil {
@@ -264,7 +264,6 @@
 		}
 		return nil, assignError(err)
 	}
-	q.e.slots.add(req.Pool, structs.SlotInfo{Slot: asg.Slot, Target: asg.Target, Org: q.org})
 	return asg, nil
 }
 
--- a/entry/programs.go
+++ b/entry/programs.go
@@ -73,7 +73,9 @@
 // handleGetProgram serves GET /v1/programs/{id}.
 func (e *Entry) handleGetProgram(w http.ResponseWriter, r *http.Request) {
 	id := auth.FromContext(r.Context())
-	p, err := e.state.GetProgram(r.Context(), structs.ProgramQuery{Org: id.Org, Program: pathvar.Vars(r)["id"]})
+	ctx, cancel := e.queryContext(r.Context(), 0)
+	defer cancel()
+	p, err := e.state.GetProgram(ctx, structs.ProgramQuery{Org: id.Org, Program: pathvar.Vars(r)["id"]})
 	e.replyProgram(w, r, http.StatusOK, p, err)
 }
 
@@ -120,7 +122,9 @@
 		e.serveTurn(ctx, w, r, t, true, true)
 		return
 	}
-	rec, err := e.state.GetTurn(ctx, *q)
+	qctx, cancel := e.queryContext(ctx, q.Wait)
+	defer cancel()
+	rec, err := e.state.GetTurn(qctx, *q)
 	if err != nil {
 		reply.Error(w, r, stateError(err))
 		return
--- a/entry/retrybudget.go
+++ b/entry/retrybudget.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -13,6 +14,8 @@
 	retryFloor = 3
 	// maxDispatches bounds the dispatches of one request.
 	maxDispatches = 3
+	// retryQueryTimeout bounds the question to the scheduler.
+	retryQueryTimeout = time.Second
 )
 
 // retryBudget bounds retries for each pool, so that failing targets do not multiply
@@ -35,6 +38,18 @@
 	return &retryBudget{now: now, pools: map[string]*retryCounts{}}
 }
 
+// allowRetry asks the pool's scheduler, which counts for all entries, whether a retry is
+// allowed. While it does not answer, this entry's own budget decides.
+func (e *Entry) allowRetry(ctx context.Context, pool string) bool {
+	ctx, cancel := context.WithTimeout(ctx, retryQueryTimeout)
+	defer cancel()
+	allowed, err := e.sched.AllowRetry(ctx, pool)
+	if err != nil {
+		return e.retries.take(pool)
+	}
+	return allowed
+}
+
 // success counts a successful request.
 func (b *retryBudget) success(pool string) {
 	b.mu.Lock()
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -97,7 +97,9 @@
 		reply.Error(w, r, fail)
 		return
 	}
-	rec, err := e.state.GetCall(r.Context(), *q)
+	ctx, cancel := e.queryContext(r.Context(), q.Wait)
+	defer cancel()
+	rec, err := e.state.GetCall(ctx, *q)
 	if err != nil {
 		reply.Error(w, r, stateError(err))
 		return
--- a/entry/snapshot.go
+++ b/entry/snapshot.go
@@ -173,15 +173,6 @@
 	}
 }
 
-// pools returns the names of all pools that have services.
-func (s *snapshot) pools() map[string]bool {
-	out := map[string]bool{}
-	for _, sv := range s.services {
-		out[sv.Pool()] = true
-	}
-	return out
-}
-
 // addresses returns the addresses of all targets.
 func (s *snapshot) addresses() map[string]bool {
 	out := map[string]bool{}
--- a/entry/suite_test.go
+++ b/entry/suite_test.go
@@ -73,7 +73,7 @@
 			ID: "e1", Zone: "z", Listen: "127.0.0.1:0", MaxBodyBytes: 64 << 10, BodyTimeout: 300 * time.Millisecond,
 			DrainNotice: 100 * time.Millisecond, DrainDeadline: 20 * time.Second,
 		},
-		State: b.state, Scheduler: b.sched, Metrics: metrics.NewRegistry(), Timing: timing,
+		Incarnation: NewIncarnation("e1"), State: b.state, Scheduler: b.sched, Metrics: metrics.NewRegistry(), Timing: timing,
 		Log: funcr.New(func(p, a string) { b.logs.add(p + a) }, funcr.Options{Verbosity: 9}),
 	})
 	b.e.Start()
--- a/entry/trim.go
+++ b/entry/trim.go
@@ -48,6 +48,8 @@
 	if n := int(t.number.Load()); n > 0 {
 		return n - 1, nil
 	}
+	ctx, cancel := t.e.queryContext(ctx, 0)
+	defer cancel()
 	p, err := t.e.state.GetProgram(ctx, structs.ProgramQuery{Org: t.id.Org, Program: t.program})
 	if err != nil {
 		return 0, stateError(err)
@@ -60,6 +62,8 @@
 	if hist, ok := t.e.histories.get(t.key()).through(n); ok {
 		return hist, nil
 	}
+	ctx, cancel := t.e.queryContext(ctx, 0)
+	defer cancel()
 	turns := make([]*structs.Turn, n)
 	g, gctx := errgroup.WithContext(ctx)
 	g.SetLimit(historyLoaders)
--- a/entry/turn.go
+++ b/entry/turn.go
@@ -17,6 +17,9 @@
 	inProgressWait = time.Second
 	// inProgressPause spaces the begin commands of a turn that runs elsewhere.
 	inProgressPause = 100 * time.Millisecond
+	// defaultMaxTokens is the limit of services that declare none. The state reserves
+	// the limit from the program's budget, so there is always one.
+	defaultMaxTokens = 4096
 )
 
 // turn is one turn that this entry runs, or whose outcome it waits for.
@@ -195,11 +198,14 @@
 	return h
 }
 
-// maxTokens returns the most the caller and the service allow; 0: no limit given.
+// maxTokens returns the most the caller and the service allow to be generated.
 func (t *turn) maxTokens() int64 {
 	limit := int64(t.svc.MaxOutputTokens)
-	if t.req.maxTokens > 0 && (limit == 0 || t.req.maxTokens < limit) {
-		return t.req.maxTokens
+	if limit == 0 {
+		limit = defaultMaxTokens
+	}
+	if t.req.maxTokens > 0 {
+		return min(t.req.maxTokens, limit)
 	}
 	return limit
 }
@@ -207,6 +213,8 @@
 // awaitRunning waits a while for the program's running turn. It returns refusal if
 // that is another turn than this one.
 func (t *turn) awaitRunning(ctx context.Context, refusal *errs.Error) *errs.Error {
+	ctx, cancel := t.e.queryContext(ctx, inProgressWait)
+	defer cancel()
 	n := int(t.number.Load())
 	if n == 0 {
 		p, err := t.e.state.GetProgram(ctx, structs.ProgramQuery{Org: t.id.Org, Program: t.program})
@@ -235,7 +243,7 @@
 func (t *turn) endOrphan(ctx context.Context, rec *structs.Turn) {
 	cctx, cancel := t.e.commitContext(ctx)
 	defer cancel()
-	err := t.e.state.FinishTurn(cctx, t.id.Org, structs.FinishTurn{
+	_, err := t.e.state.FinishTurn(cctx, t.id.Org, structs.FinishTurn{
 		Program:    t.program,
 		Turn:       rec.N,
 		Attempt:    rec.Attempt,
