--- a/engine/client.go
+++ b/engine/client.go
@@ -20,8 +20,8 @@
 	maxIdleConnsPerTarget  = 256
 	maxResponseHeaderBytes = 64 << 10
 	// defaultFirstByteTimeout covers the load of a cold engine.
-	defaultFirstByteTimeout = 60 * time.Second
-	defaultStallTimeout     = 20 * time.Second
+	defaultFirstByteTimeout = 30 * time.Second
+	defaultStallTimeout     = 10 * time.Second
 )
 
 // Causes of failures. Failure.Err has one of them, or a network error, in its chain.
@@ -86,10 +86,13 @@
 	return &Client{opts: opts, fresh: fresh, pools: map[string]*http.Transport{}}
 }
 
+// keepAlive notices within 6 s that a target's host has gone silently.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 3 * time.Second, Interval: time.Second, Count: 3}
+
 // newTransport returns a transport without proxy, compression and HTTP/2.
 func newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}).DialContext,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdleConnsPerTarget,
 		IdleConnTimeout:        idleConnTimeout,
--- a/entry/call.go
+++ b/entry/call.go
@@ -28,6 +28,8 @@
 type call struct {
 	q   *plainRequest
 	key string
+	// refusedAt is when the call was first found to run already.
+	refusedAt time.Time
 
 	// done is closed after result and fail are set.
 	done   chan struct{}
@@ -106,6 +108,9 @@
 		b, err := c.begin(ctx)
 		if err != nil {
 			c.close(nil, stateError(err))
+			if outcomeUnsettled(err) {
+				c.cleanUpBegin(ctx)
+			}
 			return
 		}
 		if b.Begun {
@@ -128,7 +133,7 @@
 		Service:     c.q.svc.Name,
 		Digest:      c.q.digest,
 		Entry:       c.q.e.incarn,
-		LiveEntries: c.q.e.config.snapshot().live,
+		LiveEntries: c.q.e.config.liveSince(c.refusedAt),
 		Limits:      c.q.limits,
 	})
 	if err != nil || !b.Begun {
@@ -156,8 +161,11 @@
 	case structs.CallNotRun:
 		return true
 	}
-	if rec.Entry == c.q.e.incarn && c.q.e.calls.idle(c.tableKey()) {
-		c.record(ctx, structs.FinishCall{State: structs.CallNotRun}) // begun, never dispatched
+	if c.refusedAt.IsZero() {
+		c.refusedAt = time.Now()
+	}
+	if c.orphan(rec) {
+		_ = c.record(ctx, structs.FinishCall{State: structs.CallNotRun}) // the next begin command finds it again
 		return true
 	}
 	if time.Now().After(until) || c.q.e.ctx.Err() != nil {
@@ -174,6 +182,30 @@
 	return true
 }
 
+// orphan reports whether a call is recorded as running here but is not: the reply to its
+// begin command was lost, so it was never dispatched.
+func (c *call) orphan(rec *structs.Call) bool {
+	return rec.State == structs.CallRunning && rec.Entry == c.q.e.incarn && c.q.e.calls.idle(c.tableKey())
+}
+
+// cleanUpBegin records that the call was not run if its begin command was recorded
+// although the reply was lost.
+func (c *call) cleanUpBegin(ctx context.Context) {
+	until := time.Now().Add(finishRetryLimit)
+	for time.Now().Before(until) && c.q.e.ctx.Err() == nil {
+		qctx, cancel := c.q.e.queryContext(ctx, 0)
+		rec, err := c.q.e.state.GetCall(qctx, structs.CallQuery{Org: c.q.org, Key: c.key})
+		cancel()
+		if err == nil && c.orphan(rec) {
+			err = c.record(ctx, structs.FinishCall{State: structs.CallNotRun})
+		}
+		if err == nil || !outcomeUnsettled(err) {
+			return
+		}
+		sleep(c.q.e.ctx, finishRetryPause)
+	}
+}
+
 // dispatch sends the call. It is sent again only if the failure proves that no byte of
 // it has left this process.
 func (c *call) dispatch(ctx context.Context) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -159,15 +159,23 @@
 }
 
 // lookupKey implements auth.Lookup against the current configuration.
-func (e *Entry) lookupKey(hash string) (auth.Identity, *errs.Error) {
-	k := e.config.snapshot().key(hash)
-	if k == nil {
-		return auth.Identity{}, errs.New(errs.Unauthorized, "send a key that the operator has granted", "the key is unknown")
-	}
-	if k.Revoked {
-		return auth.Identity{}, keyRevoked()
+func (e *Entry) lookupKey(hash string) (id auth.Identity, fail *errs.Error) {
+	unconfirmed := e.config.confirmed(func(s *snapshot) {
+		id, fail = auth.Identity{}, nil
+		k := s.key(hash)
+		switch {
+		case k == nil:
+			fail = errs.New(errs.Unauthorized, "send a key that the operator has granted", "the key is unknown")
+		case k.Revoked:
+			fail = keyRevoked()
+		default:
+			id = auth.Identity{KeyID: k.ID, Org: k.Organisation}
+		}
+	})
+	if unconfirmed != nil {
+		return auth.Identity{}, unconfirmed
 	}
-	return auth.Identity{KeyID: k.ID, Org: k.Organisation}, nil
+	return id, fail
 }
 
 func keyRevoked() *errs.Error {
@@ -180,22 +188,16 @@
 }
 
 // admit checks, right before a dispatch, that the key is still valid under a confirmed
-// configuration. The process may have been stopped since any earlier check. The key is
-// checked first and the clock after it: if both hold for one snapshot, the snapshot was
-// current within the validity.
+// configuration. The process may have been stopped since any earlier check.
 func (e *Entry) admit(id auth.Identity) *errs.Error {
-	for {
-		s := e.config.snapshot()
-		if id.KeyID != "" && s.revoked(id.KeyID) {
-			return keyRevoked()
-		}
-		if err := e.config.check(); err != nil {
-			return err
-		}
-		if e.config.snapshot() == s {
-			return nil
-		}
+	revoked := false
+	unconfirmed := e.config.confirmed(func(s *snapshot) {
+		revoked = id.KeyID != "" && s.revoked(id.KeyID)
+	})
+	if revoked {
+		return keyRevoked()
 	}
+	return unconfirmed
 }
 
 // organisation returns the organisation of an identity with its limits.
--- a/entry/fakestate_test.go
+++ b/entry/fakestate_test.go
@@ -56,6 +56,10 @@
 	fn()
 }
 
+func dead(entry, self string, live []string) bool {
+	return len(live) > 0 && entry != self && !slices.Contains(live, entry)
+}
+
 func lost() error { return errs.New(errs.Uncertain, "ask again", "no reply") }
 
 func (f *fakeState) Confirm(_ context.Context, req structs.ConfirmConfig) (*structs.ConfirmReply, error) {
@@ -144,7 +148,7 @@
 			return nil, errs.New(errs.TurnConflict, "send the same request", "turn %d has another request", n)
 		case t.State == structs.TurnAnswered:
 			return &structs.BeginTurnReply{Program: *p, Turn: *t, Recorded: true}, nil
-		case t.State == structs.TurnRunning && slices.Contains(q.LiveEntries, t.Entry):
+		case t.State == structs.TurnRunning && !dead(t.Entry, q.Entry, q.LiveEntries):
 			return nil, errs.New(errs.TurnInProgress, "wait", "turn %d runs", n)
 		}
 	}
@@ -220,7 +224,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := f.calls[org+q.Key]
-	if c != nil && c.State == structs.CallRunning && !slices.Contains(q.LiveEntries, c.Entry) {
+	if c != nil && c.State == structs.CallRunning && dead(c.Entry, q.Entry, q.LiveEntries) {
 		c.State = structs.CallUnknown
 	}
 	if c != nil && c.State != structs.CallNotRun {
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -39,8 +39,8 @@
 	log      logr.Logger
 
 	snap atomic.Pointer[snapshot]
-	// confirmed is when the last confirmed poll was sent; it has a monotonic reading.
-	confirmed atomic.Pointer[time.Time]
+	// confirmedAt is when the last confirmed poll was sent; it has a monotonic reading.
+	confirmedAt atomic.Pointer[time.Time]
 }
 
 // snapshot returns the current configuration; it is never nil.
@@ -49,7 +49,7 @@
 // check returns nil while the configuration is confirmed. It reads the clock on each
 // call, so it holds at once after the process was stopped and continued.
 func (f *follower) check() *errs.Error {
-	at := f.confirmed.Load()
+	at := f.confirmedAt.Load()
 	if at != nil && time.Since(*at) <= f.validity {
 		return nil
 	}
@@ -57,6 +57,33 @@
 	return e.WithRetryAfter(f.interval)
 }
 
+// confirmed lets decide read the configuration. It returns nil if what decide read was
+// confirmed at that time: the clock is read after it, and the configuration has not
+// changed in between. Otherwise decide is called again, or the configuration is not
+// confirmed.
+func (f *follower) confirmed(decide func(*snapshot)) *errs.Error {
+	for {
+		s := f.snapshot()
+		decide(s)
+		if err := f.check(); err != nil {
+			return err
+		}
+		if f.snapshot() == s {
+			return nil
+		}
+	}
+}
+
+// liveSince returns the live entries if the list was asked for after since, else nil.
+// An older list may lack an entry that has joined in between and runs something.
+func (f *follower) liveSince(since time.Time) []string {
+	at := f.confirmedAt.Load() // before the snapshot, which is then at least as new
+	if since.IsZero() || at == nil || !at.After(since) {
+		return nil
+	}
+	return f.snapshot().live
+}
+
 // run polls until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -89,7 +116,7 @@
 	if err := f.apply(cur, r); err != nil {
 		return err
 	}
-	f.confirmed.Store(&sent)
+	f.confirmedAt.Store(&sent)
 	return nil
 }
 
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -238,6 +238,8 @@
 func (g *generation) forward(c *engine.Chunk) error {
 	if g.roleSent {
 		delete(c.Delta, "role") // an earlier chunk had it
+	} else {
+		c.Delta["role"] = json.RawMessage(`"assistant"`) // callers expect it first
 	}
 	if len(c.Delta) == 0 {
 		return nil
--- a/entry/programs.go
+++ b/entry/programs.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/zeromicro/go-zero/rest/pathvar"
@@ -122,6 +124,9 @@
 		e.serveTurn(ctx, w, r, t, true, true)
 		return
 	}
+	if stream && q.Wait == 0 {
+		q.Wait = maxQueryWait // a stream of a turn that runs elsewhere begins at its end
+	}
 	qctx, cancel := e.queryContext(ctx, q.Wait)
 	defer cancel()
 	rec, err := e.state.GetTurn(qctx, *q)
@@ -132,7 +137,7 @@
 	w.Header().Set(headerProgram, q.Program)
 	w.Header().Set(headerTurn, strconv.Itoa(q.Turn))
 	if stream {
-		e.replayTurn(w, r, q.Program, rec)
+		e.replayTurn(w, r, q, rec)
 		return
 	}
 	reply.JSON(w, r, http.StatusOK, turnBody{Turn: rec, Program: q.Program, Answer: rec.Answer})
@@ -161,10 +166,12 @@
 	return time.Duration(min(seconds, maxQueryWait.Seconds()) * float64(time.Second)), nil
 }
 
-func wantsEvents(r *http.Request) bool { return r.Header.Get("Accept") == "text/event-stream" }
+func wantsEvents(r *http.Request) bool {
+	return strings.Contains(r.Header.Get("Accept"), "text/event-stream")
+}
 
 // replayTurn writes a recorded turn as a stream.
-func (e *Entry) replayTurn(w http.ResponseWriter, r *http.Request, program string, rec *structs.Turn) {
+func (e *Entry) replayTurn(w http.ResponseWriter, r *http.Request, q *structs.TurnQuery, rec *structs.Turn) {
 	switch {
 	case rec.State == structs.TurnRunning:
 		fail := errs.New(errs.TurnInProgress, "ask again, with ?wait=SECONDS", "turn %d is still running", rec.N)
@@ -174,7 +181,7 @@
 	case rec.State == structs.TurnFailed:
 		reply.Error(w, r, errs.New(errs.TargetFailed, "send the turn again", "the turn failed").WithRun(errs.RunUnknown))
 	default:
-		chunks := newChunkWriter(program, "")
+		chunks := newChunkWriter(q.Program, e.serviceOf(r.Context(), q))
 		res := recordedResult(rec)
 		s := newEventWriter(w, r, true)
 		s.add(chunks.whole(res))
@@ -184,6 +191,17 @@
 	}
 }
 
+// serviceOf returns the name of a program's service, as far as it can be read.
+func (e *Entry) serviceOf(ctx context.Context, q *structs.TurnQuery) string {
+	ctx, cancel := e.queryContext(ctx, 0)
+	defer cancel()
+	p, err := e.state.GetProgram(ctx, structs.ProgramQuery{Org: q.Org, Program: q.Program})
+	if err != nil {
+		return ""
+	}
+	return p.Service
+}
+
 // handleModels serves GET /v1/models.
 func (e *Entry) handleModels(w http.ResponseWriter, r *http.Request) {
 	type model struct {
--- a/entry/settle.go
+++ b/entry/settle.go
@@ -23,11 +23,11 @@
 	statusTimeout = 2 * time.Second
 	settleTimeout = 5 * time.Second
 	keyHolder     = "{key}"
+	maxStatus     = 599
 )
 
 // settle asks the targets for the outcome of an unknown call and records it. It returns
-// nil if the outcome stays unknown. Only a status 200 settles a call: its body is the
-// result. A target that does not know the call proves nothing, because the request may
+// nil if the outcome stays unknown. Only an executed call is settled: a target that does not know the call proves nothing, because the request may
 // still be on its way or may have gone to another target.
 func (e *Entry) settle(ctx context.Context, org string, svc *structs.Service, rec *structs.Call) *structs.Call {
 	if svc == nil || svc.StatusPath == "" {
@@ -47,7 +47,9 @@
 		if f != nil || res.Status != http.StatusOK {
 			continue
 		}
-		return e.resolve(ctx, org, rec.Key, res)
+		if cmd, ok := executed(rec.Key, res.Body); ok {
+			return e.resolve(ctx, org, cmd)
+		}
 	}
 	return nil
 }
@@ -68,16 +70,36 @@
 	return out
 }
 
-func (e *Entry) resolve(ctx context.Context, org, key string, res *engine.PlainReply) *structs.Call {
+// stateExecuted is the state of a call whose result the status query returns.
+const stateExecuted = "executed"
+
+// executed reads the answer of a status query. It is either an object with the fields
+// state, status and body, or the result itself.
+func executed(key string, answer []byte) (structs.ResolveCall, bool) {
+	cmd := structs.ResolveCall{Key: key, State: structs.CallFinished, Status: http.StatusOK, Body: answer}
+	var v struct {
+		State  string          `json:"state"`
+		Status int             `json:"status"`
+		Body   json.RawMessage `json:"body"`
+	}
+	if json.Unmarshal(answer, &v) == nil && v.State != "" {
+		cmd.Status, cmd.Body = v.Status, v.Body
+		if v.State != stateExecuted || v.Status < http.StatusOK || v.Status > maxStatus {
+			return cmd, false
+		}
+	}
+	if len(cmd.Body) > maxRecordedBody {
+		cmd.Body = nil
+	}
+	return cmd, true
+}
+
+func (e *Entry) resolve(ctx context.Context, org string, cmd structs.ResolveCall) *structs.Call {
 	cctx, cancel := e.commitContext(ctx)
 	defer cancel()
-	cmd := structs.ResolveCall{Key: key, State: structs.CallFinished, Status: res.Status}
-	if len(res.Body) <= maxRecordedBody {
-		cmd.Body = res.Body
-	}
 	rec, err := e.state.ResolveCall(cctx, org, cmd)
 	if err != nil {
-		e.log.Info("settled call not recorded", "key", key, "error", err.Error())
+		e.log.Info("settled call not recorded", "key", cmd.Key, "error", err.Error())
 		return nil
 	}
 	return rec
--- a/entry/turn.go
+++ b/entry/turn.go
@@ -34,9 +34,11 @@
 	implicit bool
 	digest   string
 	// known is the history that the last begin command named as known.
-	known  *history
-	log    *eventLog
-	chunks *chunkWriter
+	known *history
+	// refusedAt is when the turn was first found to run already.
+	refusedAt time.Time
+	log       *eventLog
+	chunks    *chunkWriter
 
 	// number is the turn's number, 0 until the begin command has been answered unless
 	// the caller has given it.
@@ -144,9 +146,15 @@
 		if err == nil {
 			return b, nil
 		}
+		if outcomeUnsettled(err) {
+			t.e.background(func() { t.cleanUpBegin(ctx) })
+		}
 		if !errs.Is(err, errs.TurnInProgress) {
 			return nil, stateError(err)
 		}
+		if t.refusedAt.IsZero() {
+			t.refusedAt = time.Now()
+		}
 		if e := t.awaitRunning(ctx, errs.From(err)); e != nil {
 			return nil, e
 		}
@@ -181,7 +189,7 @@
 		Messages:    t.req.messages,
 		MaxTokens:   t.maxTokens(),
 		Entry:       t.e.incarn,
-		LiveEntries: t.e.config.snapshot().live,
+		LiveEntries: t.e.config.liveSince(t.refusedAt),
 		Limits:      t.limits,
 	}
 	t.known = t.knownHistory(cmd.Turn)
@@ -213,34 +221,60 @@
 // awaitRunning waits a while for the program's running turn. It returns refusal if
 // that is another turn than this one.
 func (t *turn) awaitRunning(ctx context.Context, refusal *errs.Error) *errs.Error {
-	ctx, cancel := t.e.queryContext(ctx, inProgressWait)
+	rec, err := t.lastTurn(ctx, inProgressWait)
+	if err != nil {
+		return stateError(err)
+	}
+	if rec.Digest != t.digest {
+		return refusal
+	}
+	t.number.Store(int64(rec.N))
+	if t.orphan(rec) {
+		_ = t.endOrphan(ctx, rec) // the next begin command finds it again
+	}
+	return nil
+}
+
+// lastTurn reads the turn, or the program's last one if the number is not known, and
+// waits for it to end.
+func (t *turn) lastTurn(ctx context.Context, wait time.Duration) (*structs.Turn, error) {
+	ctx, cancel := t.e.queryContext(ctx, wait)
 	defer cancel()
 	n := int(t.number.Load())
 	if n == 0 {
 		p, err := t.e.state.GetProgram(ctx, structs.ProgramQuery{Org: t.id.Org, Program: t.program})
 		if err != nil {
-			return stateError(err)
+			return nil, err
 		}
 		n = p.Turns
 	}
-	q := structs.TurnQuery{Org: t.id.Org, Program: t.program, Turn: n, Wait: inProgressWait}
-	rec, err := t.e.state.GetTurn(ctx, q)
-	if err != nil {
-		return stateError(err)
-	}
-	if rec.Digest != t.digest {
-		return refusal
-	}
-	t.number.Store(int64(n))
-	if rec.State == structs.TurnRunning && rec.Entry == t.e.incarn && t.e.turns.idle(t.key()) {
-		t.endOrphan(ctx, rec)
+	return t.e.state.GetTurn(ctx, structs.TurnQuery{Org: t.id.Org, Program: t.program, Turn: n, Wait: wait})
+}
+
+// orphan reports whether a turn is recorded as running here but is not: the reply to
+// its begin command was lost, so it was never dispatched.
+func (t *turn) orphan(rec *structs.Turn) bool {
+	return rec.State == structs.TurnRunning && rec.Entry == t.e.incarn && t.e.turns.idle(t.key())
+}
+
+// cleanUpBegin ends the turn if its begin command was recorded although the reply was
+// lost. Without it a resend to another entry would wait for this one.
+func (t *turn) cleanUpBegin(ctx context.Context) {
+	ctx = context.WithoutCancel(ctx)
+	until := time.Now().Add(finishRetryLimit)
+	for time.Now().Before(until) && t.e.ctx.Err() == nil {
+		rec, err := t.lastTurn(ctx, 0)
+		if err == nil && t.orphan(rec) {
+			err = t.endOrphan(ctx, rec)
+		}
+		if err == nil || !outcomeUnsettled(err) {
+			return
+		}
+		sleep(t.e.ctx, finishRetryPause)
 	}
-	return nil
 }
 
-// endOrphan ends a turn that is recorded as running here but is not: the reply to its
-// begin command was lost, so it was never dispatched.
-func (t *turn) endOrphan(ctx context.Context, rec *structs.Turn) {
+func (t *turn) endOrphan(ctx context.Context, rec *structs.Turn) error {
 	cctx, cancel := t.e.commitContext(ctx)
 	defer cancel()
 	_, err := t.e.state.FinishTurn(cctx, t.id.Org, structs.FinishTurn{
@@ -250,7 +284,5 @@
 		UsageKnown: true,
 		Failure:    errs.New(errs.Unavailable, "send the request again", "the turn was begun but not run"),
 	})
-	if err != nil {
-		t.e.log.Info("turn without a run could not be ended", "program", t.program, "turn", rec.N, "error", err.Error())
-	}
+	return err
 }
