--- /dev/null
+++ b/entry/drain_test.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"crypto/tls"
+	"io"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/figlb/figlb/pki"
+	"github.com/figlb/figlb/settings"
+)
+
+var _ = ginkgo.Describe("the planned stop", func() {
+	ginkgo.It("interrupts no stream and no call", func() {
+		// Guards against requests that a restart cuts off.
+		const streams = 300
+		b := newBed(Timing{})
+		var running atomic.Int32
+		release := make(chan struct{})
+		b.target("t1", "m", "", func(w http.ResponseWriter, _ *http.Request) {
+			sse(w, delta("a"))
+			running.Add(1)
+			<-release
+			sse(w, delta("b"))
+			sse(w, finishChunk(1, 2))
+			sse(w, "[DONE]")
+		})
+		b.target("o1", "", "orders", func(w http.ResponseWriter, _ *http.Request) {
+			running.Add(1)
+			<-release
+			w.WriteHeader(201)
+		})
+		s := orders
+		s.Timeout = 20 * time.Second
+		b.service(s)
+		var ok atomic.Int32
+		var wg sync.WaitGroup
+		for i := range streams {
+			wg.Go(func() {
+				defer ginkgo.GinkgoRecover()
+				if i%10 == 0 {
+					resp, body := b.do("POST", "/orders", "7", nil)
+					Expect(resp.StatusCode).To(Equal(201), body)
+				} else {
+					_, body := b.chat(streamBody, nil)
+					Expect(textOf(body)).To(Equal("ab"))
+					Expect(body).To(HaveSuffix("[DONE]\n\n"))
+				}
+				ok.Add(1)
+			})
+		}
+		Eventually(running.Load, "15s").Should(BeEquivalentTo(streams))
+		stopped := make(chan struct{})
+		go func() {
+			b.srv.Drain()
+			close(stopped)
+		}()
+		Eventually(b.e.Ready).ShouldNot(Succeed())
+		// Requests in the notice are served: the balancer may not have noticed yet.
+		resp, body := b.do("GET", "/v1/models", "", nil)
+		Expect(resp.StatusCode).To(Equal(200), body)
+		Expect(resp.Close).To(BeTrue())
+		Eventually(func() error {
+			_, err := http.DefaultTransport.RoundTrip(b.request("GET", "/v1/models", "", nil))
+			return err
+		}, "4s").Should(HaveOccurred())
+		Consistently(stopped, "200ms").ShouldNot(BeClosed())
+		close(release)
+		Eventually(stopped, "15s").Should(BeClosed())
+		wg.Wait()
+		Expect(ok.Load()).To(BeEquivalentTo(streams))
+	})
+
+	ginkgo.It("ends what is left at the deadline with a typed error", func() {
+		// Guards against a stop that hangs, and against a stream that ends as if whole.
+		b := newBed(Timing{})
+		b.e.opts.Settings.DrainDeadline = 200 * time.Millisecond
+		started := make(chan struct{})
+		b.target("t1", "m", "", func(w http.ResponseWriter, r *http.Request) {
+			sse(w, delta("a"))
+			close(started)
+			<-r.Context().Done()
+		})
+		b.settle()
+		body := make(chan string, 1)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			_, text := b.chat(streamBody, nil)
+			body <- text
+		}()
+		<-started
+		b.srv.Drain()
+		var text string
+		Eventually(body, "4s").Should(Receive(&text))
+		Expect(errorOf(text)).To(HaveKeyWithValue("code", "draining"))
+		Expect(b.state.finishes).To(HaveLen(1))
+		Expect(b.state.finishes[0].Failure).NotTo(BeNil())
+	})
+})
+
+var _ = ginkgo.Describe("TLS for callers", func() {
+	ginkgo.It("serves HTTPS with the certificate of the settings", func() {
+		// Guards against keys that travel in the clear although TLS is configured.
+		dir := ginkgo.GinkgoT().TempDir()
+		Expect(pki.CreateCA(dir, "test")).To(Succeed())
+		Expect(pki.Issue(dir, "e1", pki.RoleEntry, nil)).To(Succeed())
+		cert, key := filepath.Join(dir, "e1.pem"), filepath.Join(dir, "e1.key")
+		state := newFakeState()
+		e := New(Options{
+			Settings: settings.Entry{ID: "e1", Listen: "127.0.0.1:0", MaxBodyBytes: 1024, BodyTimeout: time.Second},
+			TLS:      settings.TLS{CallerCert: cert, CallerKey: key},
+			State:    state, Scheduler: &fakeScheduler{state: state}, Metrics: metrics.NewRegistry(), Log: logr.Discard(),
+		})
+		srv, err := e.Listen()
+		Expect(err).NotTo(HaveOccurred())
+		ginkgo.DeferCleanup(srv.Close)
+		resp, err := http.Get("http://" + srv.Addr() + "/readyz")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(400))
+		_ = resp.Body.Close()
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+		resp, err = client.Get("https://" + srv.Addr() + "/readyz")
+		Expect(err).NotTo(HaveOccurred())
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(503)) // no configuration yet
+	})
+})
