Count and time the entry's work; bound writes to callers

Adds counters and timers of begins, finishes, assignments, first tokens, retries, outcomes and errors. An answer that a caller does not read ends after 30 s; the deadline is cleared for the connection's next answer. A key in a path is refused and does not reach spans or log lines.

go test -race ./entry passes.

--- a/entry/call.go
+++ b/entry/call.go
@@ -95,6 +95,9 @@
 
 func (c *call) close(res *engine.PlainReply, fail *errs.Error) {
 	c.result, c.fail = res, fail
+	if fail != nil {
+		c.q.e.countError(fail)
+	}
 	close(c.done)
 }
 
@@ -128,6 +131,7 @@
 	cctx, cancel := c.q.e.commitContext(ctx)
 	defer cancel()
 	c.q.e.calls.beginning(c.tableKey())
+	defer c.q.e.timeSince(metricBegin, time.Now())
 	b, err := c.q.e.state.BeginCall(cctx, c.q.org, structs.BeginCall{
 		Key:         c.key,
 		Service:     c.q.svc.Name,
@@ -282,6 +286,7 @@
 	cctx, cancel := c.q.e.commitContext(ctx)
 	defer cancel()
 	cmd.Key, cmd.Entry = c.key, c.q.e.incarn
+	defer c.q.e.timeSince(metricFinish, time.Now())
 	_, err := c.q.e.state.FinishCall(cctx, c.q.org, cmd)
 	if err != nil {
 		c.q.e.log.Info("call outcome not recorded yet", "key", c.key, "state", cmd.State, "error", err.Error())
--- a/entry/chat_test.go
+++ b/entry/chat_test.go
@@ -127,10 +127,11 @@
 		_, body1 := b.do("GET", "/tools/x?a=1&api_key="+testKey+"&b="+testKey, "", h)
 		_, body2 := b.chat(wholeBody, h)
 		_, body3 := b.chat(wholeBody, header{"Authorization": "Bearer fk-wrong-key-1"})
+		_, body4 := b.do("GET", "/tools/"+testKey, "", nil)
 		Expect(seen.String()).To(ContainSubstring("X-Kept: kept"))
 		Expect(seen.String()).To(ContainSubstring("/tools/x?a=1 "))
 		Expect(seen.String()).NotTo(ContainSubstring("i1"))
-		for _, text := range []string{seen.String(), b.logs.String(), body1, body2, body3} {
+		for _, text := range []string{seen.String(), b.logs.String(), body1, body2, body3, body4} {
 			Expect(text).NotTo(Or(ContainSubstring(testKey), ContainSubstring("fk-wrong-key")))
 		}
 	})
--- a/entry/commit.go
+++ b/entry/commit.go
@@ -36,6 +36,7 @@
 		return
 	}
 	g.remember(r)
+	t.e.timeSince(metricTurns, g.started)
 	for _, data := range g.pending {
 		t.log.append(eventChunk, data)
 	}
@@ -68,6 +69,7 @@
 // fail publishes e and records the turn as failed.
 func (g *generation) fail(ctx context.Context, e *errs.Error) {
 	e = g.runState(e)
+	g.t.e.countError(e)
 	g.t.log.close(e)
 	cmd := structs.FinishTurn{
 		Program:    g.t.program,
@@ -85,6 +87,7 @@
 func (g *generation) finish(ctx context.Context, cmd structs.FinishTurn) error {
 	cctx, cancel := g.t.e.commitContext(ctx)
 	defer cancel()
+	defer g.t.e.timeSince(metricFinish, time.Now())
 	_, err := g.t.e.state.FinishTurn(cctx, g.t.id.Org, cmd)
 	return err
 }
--- a/entry/eventwriter.go
+++ b/entry/eventwriter.go
@@ -11,9 +11,6 @@
 	"github.com/figlb/figlb/errs"
 )
 
-// callerWriteTimeout bounds one write to a caller that does not read.
-const callerWriteTimeout = 30 * time.Second
-
 // eventWriter writes server-sent events to a caller.
 type eventWriter struct {
 	w     http.ResponseWriter
@@ -52,7 +49,7 @@
 	if s.buf.Len() == 0 {
 		return nil
 	}
-	if err := s.rc.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+	if err := s.rc.SetWriteDeadline(time.Now().Add(reply.WriteTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return err
 	}
 	if _, err := s.w.Write(s.buf.Bytes()); err != nil {
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -164,7 +164,9 @@
 	if t.svc.Deadline > 0 {
 		req.Deadline = max(t.svc.Deadline-req.ProgramAge, time.Millisecond)
 	}
+	start := time.Now()
 	asg, err := t.e.sched.Assign(ctx, req)
+	t.e.timeSince(metricAssign, start)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, g.runState(contextError(ctx).WithRun(errs.NotRun))
@@ -247,6 +249,9 @@
 	if err := g.answer.add(c); err != nil {
 		return err
 	}
+	if g.answer.chunks == 1 && c.HasTokens() {
+		g.t.e.timeSince(metricTTFT, g.started)
+	}
 	g.roleSent = true
 	data := g.t.chunks.content(c)
 	if g.t.req.stream {
@@ -258,6 +263,7 @@
 }
 
 func (g *generation) release(asg *structs.Assignment, o structs.Outcome, res engine.ChatResult) {
+	g.t.e.countOutcome(o)
 	g.t.e.release(structs.ReleaseSlot{
 		Pool:     g.t.svc.Pool(),
 		Entry:    g.t.e.incarn,
@@ -289,6 +295,7 @@
 	if len(g.targets) >= maxDispatches || !g.t.e.allowRetry(ctx, g.t.svc.Pool()) {
 		return g.runState(targetFailed(f)), false
 	}
+	g.t.e.count(metricRetries)
 	return nil, true
 }
 
@@ -327,6 +334,7 @@
 
 // addFingerprint records a fingerprint in the background.
 func (e *Entry) addFingerprint(ctx context.Context, f structs.Fingerprint) {
+	e.count(metricQuarantine)
 	e.background(func() {
 		cctx, cancel := e.commitContext(ctx)
 		defer cancel()
--- a/entry/middleware/accesslog/accesslog.go
+++ b/entry/middleware/accesslog/accesslog.go
@@ -8,6 +8,8 @@
 	"github.com/go-logr/logr"
 	metrics "github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel/trace"
+
+	"github.com/figlb/figlb/entry/middleware/auth"
 )
 
 const verbosity = 1 // one line per request is for debugging
@@ -19,7 +21,7 @@
 	inFlight := metrics.GetOrRegisterCounter("entry.http.in_flight", registry)
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			start := time.Now()
+			start, path := time.Now(), auth.SafePath(r)
 			inFlight.Inc(1)
 			rec := &recorder{ResponseWriter: w}
 			defer func() {
@@ -27,7 +29,7 @@
 				timer.UpdateSince(start)
 				class := strconv.Itoa(rec.status/100) + "xx"
 				metrics.GetOrRegisterCounter("entry.http.status."+class, registry).Inc(1)
-				log.V(verbosity).Info("request", "method", r.Method, "path", r.URL.Path, "status", rec.status,
+				log.V(verbosity).Info("request", "method", r.Method, "path", path, "status", rec.status,
 					"duration", time.Since(start).String(), "trace", trace.SpanContextFromContext(r.Context()).TraceID().String())
 			}()
 			next.ServeHTTP(rec, r)
--- a/entry/middleware/auth/auth.go
+++ b/entry/middleware/auth/auth.go
@@ -16,6 +16,8 @@
 	scheme = "bearer "
 	// maxKeyLength bounds the work for one key, in bytes.
 	maxKeyLength = 512
+	// minSecretLength keeps nonsense keys from matching ordinary text, in bytes.
+	minSecretLength = 8
 )
 
 // Identity is who sent a request. The zero value is an anonymous caller of an open
@@ -36,9 +38,13 @@
 func New(lookup Lookup, open func(*http.Request) bool, redact func(r *http.Request, key string)) func(http.Handler) http.Handler {
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			key := bearer(r.Header.Get(header))
+			key := Bearer(r)
 			r.Header.Del(header)
 			redact(r, key)
+			if InPath(r, key) {
+				reply.Error(w, r, errs.New(errs.BadRequest, "send the key in the header Authorization only", "the path contains the key"))
+				return
+			}
 			if open(r) {
 				next.ServeHTTP(w, r)
 				return
@@ -66,13 +72,28 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func bearer(value string) string {
+// Bearer returns the key that was sent with a request, or "".
+func Bearer(r *http.Request) string {
+	value := r.Header.Get(header)
 	if len(value) < len(scheme) || !strings.EqualFold(value[:len(scheme)], scheme) {
 		return ""
 	}
 	return strings.TrimSpace(value[len(scheme):])
 }
 
+// InPath reports whether a request's path contains its key.
+func InPath(r *http.Request, key string) bool {
+	return len(key) >= minSecretLength && strings.Contains(r.URL.Path, key)
+}
+
+// SafePath returns the path of a request for logs: without the key, if it contains it.
+func SafePath(r *http.Request) string {
+	if InPath(r, Bearer(r)) {
+		return "redacted"
+	}
+	return r.URL.Path
+}
+
 // WithIdentity returns ctx with an identity.
 func WithIdentity(ctx context.Context, id Identity) context.Context {
 	return context.WithValue(ctx, contextKey{}, id)
--- a/entry/middleware/recovery/recovery.go
+++ b/entry/middleware/recovery/recovery.go
@@ -24,7 +24,7 @@
 				if p == http.ErrAbortHandler {
 					panic(p)
 				}
-				log.Error(errors.Errorf("panic: %v", p), "request handler panicked", "path", r.URL.Path, "stack", string(debug.Stack()))
+				log.Error(errors.Errorf("panic: %v", p), "request handler panicked", "method", r.Method, "stack", string(debug.Stack()))
 				e := errs.New(errs.Internal, "report the trace id", "the request handler failed")
 				reply.Error(w, r, e.WithRun(errs.RunUnknown))
 			}()
--- a/entry/middleware/tracing/tracing.go
+++ b/entry/middleware/tracing/tracing.go
@@ -9,6 +9,8 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
+
+	"github.com/figlb/figlb/entry/middleware/auth"
 )
 
 var traceContext = propagation.TraceContext{}
@@ -19,7 +21,7 @@
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-			ctx, span := otel.Tracer("figlb/entry").Start(ctx, r.Method+" "+r.URL.Path,
+			ctx, span := otel.Tracer("figlb/entry").Start(ctx, r.Method+" "+auth.SafePath(r),
 				trace.WithSpanKind(trace.SpanKindServer),
 				trace.WithAttributes(attribute.String("http.request.method", r.Method)))
 			defer span.End()
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -119,6 +119,7 @@
 	defer stop()
 	res, fail := q.runRepeatable(ctx)
 	if fail != nil {
+		q.e.countError(fail)
 		reply.Error(w, r, fail)
 		return
 	}
@@ -228,6 +229,9 @@
 		Fresh:     callKey != "",
 	})
 	q.release(asg, plainOutcome(res, f), time.Since(start))
+	if n > 1 {
+		q.e.count(metricRetries)
+	}
 	if f != nil {
 		f.Target = asg.Target
 		q.note(asg, f)
@@ -257,7 +261,9 @@
 		Class:   q.svc.Class,
 		Exclude: q.exclude,
 	}
+	start := time.Now()
 	asg, err := q.e.sched.Assign(ctx, req)
+	q.e.timeSince(metricAssign, start)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, contextError(ctx).WithRun(errs.NotRun)
@@ -268,6 +274,7 @@
 }
 
 func (q *plainRequest) release(asg *structs.Assignment, o structs.Outcome, d time.Duration) {
+	q.e.countOutcome(o)
 	q.e.release(structs.ReleaseSlot{
 		Pool: q.svc.Pool(), Entry: q.e.incarn, Slot: asg.Slot, Target: asg.Target, Outcome: o, Duration: d,
 	})
@@ -305,6 +312,5 @@
 	} else if res.Status != http.StatusNoContent && res.Status != http.StatusNotModified {
 		w.Header().Set("Content-Length", strconv.Itoa(len(res.Body)))
 	}
-	w.WriteHeader(res.Status)
-	_, _ = w.Write(res.Body) // a caller that left is not an error of this process
+	reply.Body(w, res.Status, res.Body)
 }
--- a/entry/reply/reply.go
+++ b/entry/reply/reply.go
@@ -13,6 +13,9 @@
 	"github.com/figlb/figlb/errs"
 )
 
+// WriteTimeout bounds one write to a caller that does not read.
+const WriteTimeout = 30 * time.Second
+
 type errorBody struct {
 	Code         errs.Code     `json:"code"`
 	Message      string        `json:"message"`
@@ -65,6 +68,16 @@
 func write(w http.ResponseWriter, status int, body []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	Body(w, status, body)
+}
+
+// Body sends a status and a body to a caller, who must take it within WriteTimeout. A
+// caller that has left is not an error of this process.
+func Body(w http.ResponseWriter, status int, body []byte) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(time.Now().Add(WriteTimeout))
 	w.WriteHeader(status)
-	_, _ = w.Write(body) // a caller that left is not an error of this process
+	_, _ = w.Write(body)
+	_ = rc.Flush()
+	_ = rc.SetWriteDeadline(time.Time{}) // the connection's next answer has its own
 }
--- a/entry/server.go
+++ b/entry/server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"path"
@@ -108,6 +110,7 @@
 		h.ReadHeaderTimeout = readHeaderTimeout
 		h.IdleTimeout = idleTimeout
 		h.MaxHeaderBytes = maxHeaderBytes
+		h.ErrorLog = stdlog.New(io.Discard, "", 0) // net/http's lines may quote requests
 		h.BaseContext = func(l net.Listener) context.Context {
 			listening <- l.Addr().String()
 			return context.Background()
--- a/entry/turn.go
+++ b/entry/turn.go
@@ -108,6 +108,7 @@
 func (t *turn) run(ctx context.Context) {
 	b, e := t.begin(ctx)
 	if e != nil {
+		t.e.countError(e)
 		t.log.close(e)
 		return
 	}
@@ -169,6 +170,7 @@
 	cctx, cancel := t.e.commitContext(ctx)
 	defer cancel()
 	t.e.turns.beginning(t.key())
+	defer t.e.timeSince(metricBegin, time.Now())
 	b, err := t.e.state.BeginTurn(cctx, t.id.Org, t.beginCommand())
 	if err != nil || b.Recorded {
 		t.e.turns.begun(t.key(), nil)
