Join the entry: the whole path runs as separate processes

Cause: the thin path has to stand end to end before the parts grow. Ruled out: a second report of slots by the entry; the scheduler client reports what it holds and proves the scheduler's term with it.

--- a/cmd/figlb-entry/main.go
+++ b/cmd/figlb-entry/main.go
@@ -35,14 +35,15 @@
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 
-	state, sched, closeState, err := connect(f)
+	incarnation := entry.NewIncarnation(f.Entry.ID)
+	state, sched, closeState, err := connect(f, incarnation)
 	if err != nil {
 		return err
 	}
 	defer closeState()
 	registry := metrics.NewRegistry()
 	e := entry.New(entry.Options{
-		Settings: f.Entry, TLS: f.TLS, State: state, Scheduler: sched, Log: log, Metrics: registry,
+		Settings: f.Entry, Incarnation: incarnation, TLS: f.TLS, State: state, Scheduler: sched, Log: log, Metrics: registry,
 	})
 	admin, err := telemetry.StartAdmin(f.Entry.Admin, registry, e.Ready)
 	if err != nil {
--- a/dispatch/schedclient/client.go
+++ b/dispatch/schedclient/client.go
@@ -83,6 +83,15 @@
 	c.wg.Wait()
 }
 
+// Follow makes the client report to the scheduler of a pool for a while, also without
+// slots: a new scheduler waits for the reports of all live entries.
+func (c *Client) Follow(pool string) {
+	p := c.pool(pool)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastUsed = time.Now()
+}
+
 // Assign waits for a slot until ctx ends. The request keeps its id over all resends. It
 // fails with the scheduler's errs.Overloaded, errs.NoTarget or errs.TargetFailed, or
 // with errs.Unavailable (not run) when ctx ends first.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,13 +52,15 @@
 
 // Options configure an Entry.
 type Options struct {
-	Settings  settings.Entry
-	TLS       settings.TLS
-	State     State
-	Scheduler Scheduler
-	Log       logr.Logger
-	Metrics   metrics.Registry
-	Timing    Timing
+	Settings settings.Entry
+	// Incarnation identifies this life of the process; empty: a random one.
+	Incarnation string
+	TLS         settings.TLS
+	State       State
+	Scheduler   Scheduler
+	Log         logr.Logger
+	Metrics     metrics.Registry
+	Timing      Timing
 }
 
 // Entry serves callers.
@@ -87,12 +89,18 @@
 	draining atomic.Bool
 }
 
-// New returns an entry that has not started. Its incarnation is random.
+// NewIncarnation returns the identity of one life of the entry with an id.
+func NewIncarnation(id string) string { return id + "/" + uuid.NewString() }
+
+// New returns an entry that has not started.
 func New(opts Options) *Entry {
+	if opts.Incarnation == "" {
+		opts.Incarnation = NewIncarnation(opts.Settings.ID)
+	}
 	e := &Entry{
 		opts:      opts,
 		timing:    opts.Timing.withDefaults(),
-		incarn:    opts.Settings.ID + "/" + uuid.NewString(),
+		incarn:    opts.Incarnation,
 		state:     opts.State,
 		sched:     opts.Scheduler,
 		log:       opts.Log,
