Add the demonstration of a site and its load

Cause: a newcomer needs one command that brings a site up and shows it. Change: scripts/demo.sh with programs, a zone out and back, a planned stop.

--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,133 @@
+#!/usr/bin/env bash
+# Brings up a site on this machine with stand-ins for its model engines and services, runs
+# agent programs through it, takes an availability zone out and back, and stops it.
+# Usage: scripts/demo.sh [neng|ng-south] [SECONDS]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+site=${1:-neng}
+seconds=${2:-20}
+overlay=examples/$site.ini
+[ -e "$overlay" ] || { echo "unknown site $site: use neng or ng-south" >&2; exit 2; }
+
+members=${MEMBERS:-3}
+entries=6
+dir=$(mktemp -d)
+pids=()
+stop() {
+	for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
+	wait 2>/dev/null || true
+	rm -rf "$dir"
+}
+trap stop EXIT
+
+step() { printf '\n== %s\n' "$*"; }
+start() { # NAME COMMAND...: runs a process in the background with its log in a file
+	local name=$1
+	shift
+	"$@" >"$dir/$name.out" 2>"$dir/$name.log" &
+	pids+=($!)
+}
+addresses() { # SERVICE-KEY: the addresses of the overlay's targets, separated by commas
+	awk -v want="$1" '/^\[/ {a=""} /^address/ {a=$3} $0 == want {printf "%s%s", sep, a; sep=","}' "$overlay"
+}
+zones() { awk '/^\[zone /{gsub(/[\[\]]/, ""); print $2}' "$overlay"; }
+wait_ready() { # ADDRESS...
+	for a in "$@"; do
+		for _ in $(seq 200); do
+			curl -fsS -o /dev/null "http://$a/readyz" 2>/dev/null && continue 2
+			sleep 0.1
+		done
+		echo "$a did not become ready; logs:" >&2
+		tail -n 5 "$dir"/*.log >&2
+		exit 1
+	done
+}
+
+step "building"
+go build -o bin/ ./cmd/...
+mapfile -t zone < <(zones)
+
+step "starting stand-ins: model engines, orders, catalogue and public services"
+start engines bin/figlb-standin -role engine -listen "$(addresses 'model = proof-8b')"
+start orders bin/figlb-standin -role orders -listen "$(addresses 'service = orders'),$(addresses 'service = catalogue'),$(addresses 'service = public')"
+
+step "starting $members state members and $entries entries in zones ${zone[*]}"
+list=
+state=
+for i in $(seq $members); do
+	list+="${list:+,}state-$i=127.0.30.$i:7000"
+	state+="${state:+,}127.0.30.$i:7000"
+done
+export FIGLB_STATE=$state
+ready=()
+for i in $(seq $members); do
+	cat >"$dir/state-$i.ini" <<-EOF
+		[state]
+		id = state-$i
+		zone = ${zone[$(((i - 1) % ${#zone[@]}))]}
+		listen = 127.0.30.$i:7000
+		admin = 127.0.30.$i:7001
+		data = $dir/data-$i
+		members = $list
+	EOF
+	if [ "$i" = 1 ]; then
+		start "state-$i" bin/figlb-state -config "$dir/state-$i.ini" -bootstrap
+	else
+		start "state-$i" bin/figlb-state -config "$dir/state-$i.ini"
+	fi
+	ready+=("127.0.30.$i:7001")
+done
+wait_ready "${ready[@]}"
+
+step "applying examples/base.ini with $overlay"
+bin/figlbctl plan -base examples/base.ini -overlay "$overlay" | tail -n 3
+bin/figlbctl apply -base examples/base.ini -overlay "$overlay" -from 0 -note "first"
+
+ready=()
+urls=
+for i in $(seq $entries); do
+	cat >"$dir/entry-$i.ini" <<-EOF
+		[entry]
+		id = entry-$i
+		zone = ${zone[$(((i - 1) % ${#zone[@]}))]}
+		listen = 127.0.31.$i:8000
+		admin = 127.0.31.$i:8001
+		state = $state
+		drain_notice = 500ms
+	EOF
+	start "entry-$i" bin/figlb-entry -config "$dir/entry-$i.ini"
+	ready+=("127.0.31.$i:8001")
+	urls+="${urls:+,}http://127.0.31.$i:8000"
+done
+wait_ready "${ready[@]}"
+
+step "granting a key to each organisation"
+{
+	cat examples/load/programs.ini
+	awk '/^\[organisation /{gsub(/[\[\]]/, ""); print $2}' "$overlay" | while read -r org; do
+		key=$(bin/figlbctl key grant "$org" -output json | sed -n 's/.*"key": "\(.*\)",/\1/p')
+		printf '\n[organisation %s]\nkey = %s\nprograms = 1/s\n' "$org" "$key"
+	done
+} >"$dir/load.ini"
+bin/figlbctl key list | head -n 3
+sleep 2
+
+step "running programs for $seconds s; zone ${zone[0]} goes out after a third and returns after two thirds"
+bin/figlb-load -config "$dir/load.ini" -entries "$urls" -duration "${seconds}s" >"$dir/report.txt" &
+load=$!
+sleep $((seconds / 3))
+bin/figlbctl drain zone "${zone[0]}"
+sleep $((seconds / 3))
+bin/figlbctl return zone "${zone[0]}"
+status=0
+wait "$load" || status=$?
+cat "$dir/report.txt"
+
+step "status"
+bin/figlbctl status
+step "stopping the entries as planned"
+for pid in "${pids[@]: -$entries}"; do kill -TERM "$pid"; done
+for pid in "${pids[@]: -$entries}"; do wait "$pid" || { echo "an entry did not stop cleanly" >&2; status=1; }; done
+echo "all entries stopped with exit code 0"
+exit "$status"
