Add the replicated log: raft core, WAL and replica

Tests in process over loopback, under the race detector: a killed leader, a restart of all members, a wiped and a stale directory, a wiped bootstrapping member that is cut off, removal of unreachable voters and the loss of one more, removal on request, and a leader that is silently cut off or frozen.

--- /dev/null
+++ b/raft/election.go
@@ -0,0 +1,160 @@
+package raft
+
+import "time"
+
+func (c *Core) resetElectionTimer() {
+	spread := c.opt.ElectionMax - c.opt.ElectionMin
+	c.electionDue = c.now + c.opt.ElectionMin + time.Duration(c.opt.Rand.Int63n(int64(spread)))
+}
+
+func (c *Core) soleVoter() bool {
+	v := c.config().Voters()
+	return len(v) == 1 && v[0] == c.opt.Self
+}
+
+func (c *Core) mayCampaign() bool {
+	return c.verified && c.config().IsVoter(c.opt.Self)
+}
+
+// inLease reports whether a leader may hold a lease that this member has confirmed.
+func (c *Core) inLease() bool {
+	if c.role == Leader {
+		return c.now-c.quorumContact() < c.opt.ElectionMin
+	}
+	return c.now-c.lastContact < c.opt.ElectionMin
+}
+
+// preCampaign asks whether an election could succeed, without changing the term, so that a
+// member that was cut off does not disturb the others.
+func (c *Core) preCampaign() {
+	c.role = PreCandidate
+	c.leader = Peer{}
+	c.votes = map[Peer]bool{c.opt.Self: true}
+	c.resetElectionTimer()
+	if c.wonVotes() {
+		c.campaign(false)
+		return
+	}
+	c.askVotes(Message{Type: MsgPreVote, Term: c.term + 1}, c.send)
+}
+
+// campaign starts an election in a new term. The core's own vote counts once it is durable.
+func (c *Core) campaign(transfer bool) {
+	c.role = Candidate
+	c.leader = Peer{}
+	c.term++
+	c.vote = c.opt.Self
+	c.votes = map[Peer]bool{}
+	c.transferred = transfer
+	c.resetElectionTimer()
+	c.sendAfterSync(Message{Type: MsgVoteReply, To: c.opt.Self})
+	c.askVotes(Message{Type: MsgVote, Term: c.term, Transfer: transfer}, c.sendAfterSync)
+}
+
+func (c *Core) askVotes(m Message, send func(Message)) {
+	m.Index, m.LogTerm = c.log.last(), c.log.lastTerm()
+	for _, p := range c.config().Voters() {
+		if p != c.opt.Self {
+			m.To = p
+			send(m)
+		}
+	}
+}
+
+// wonVotes counts the votes of current voters only: a vote of an unknown incarnation does
+// not count.
+func (c *Core) wonVotes() bool {
+	n := 0
+	for p := range c.votes {
+		if c.config().IsVoter(p) {
+			n++
+		}
+	}
+	return n >= c.config().Quorum()
+}
+
+func (c *Core) handlePreVote(m Message) {
+	grant := c.verified && !c.inLease() && m.Term > c.term && c.log.upToDate(m.Index, m.LogTerm)
+	reply := Message{Type: MsgPreVoteReply, To: m.From, Reject: !grant}
+	if grant {
+		reply.Term = m.Term
+	}
+	c.send(reply)
+}
+
+func (c *Core) handlePreVoteReply(m Message) {
+	if c.role != PreCandidate || m.Reject || m.Term != c.term+1 {
+		return
+	}
+	c.votes[m.From] = true
+	if c.wonVotes() {
+		c.campaign(false)
+	}
+}
+
+func (c *Core) handleVote(m Message) {
+	free := c.vote == Peer{} || c.vote == m.From
+	if !m.Transfer && c.inLease() {
+		free = false
+	}
+	grant := c.verified && free && c.role == Follower && c.leader == Peer{} && c.log.upToDate(m.Index, m.LogTerm)
+	if grant {
+		c.vote = m.From
+		c.resetElectionTimer()
+	}
+	c.sendAfterSync(Message{Type: MsgVoteReply, To: m.From, Reject: !grant})
+}
+
+func (c *Core) handleVoteReply(m Message) {
+	if c.role != Candidate || m.Reject {
+		return
+	}
+	c.votes[m.From] = true
+	if c.wonVotes() {
+		c.becomeLeader()
+	}
+}
+
+// Transfer hands leadership to a voter that has the whole log. The core stops leading
+// before the message leaves, which ends its lease. It returns false where the transfer
+// would cost something: the member lags, or commands are in flight.
+func (c *Core) Transfer(now Time, to Peer) bool {
+	c.advance(now)
+	if c.role != Leader || to == c.opt.Self || !c.config().IsVoter(to) {
+		return false
+	}
+	pr := c.progress[to]
+	if pr.match != c.log.last() || c.commit != c.log.last() || len(c.reads) > 0 {
+		return false
+	}
+	c.send(Message{Type: MsgTimeoutNow, To: to})
+	c.becomeFollower(c.term, Peer{})
+	return true
+}
+
+func (c *Core) handleTimeoutNow(m Message) {
+	if c.role != Leader && c.mayCampaign() {
+		c.campaign(true)
+	}
+}
+
+// SetVerified allows the core to vote: its directory has been compared with the records of
+// other members. It casts no vote in its own term or in one that they have reported, because
+// it may have voted in that term before its directory went back.
+func (c *Core) SetVerified(now Time, reportedTerm uint64) {
+	c.advance(now)
+	if c.verified {
+		return
+	}
+	c.verified = true
+	if reportedTerm > c.term {
+		c.becomeFollower(reportedTerm, Peer{})
+	}
+	if c.vote == (Peer{}) {
+		c.vote = c.opt.Self
+	}
+	c.resetElectionTimer()
+	if c.soleVoter() {
+		c.electionDue = c.now
+	}
+}
--- /dev/null
+++ b/replica/cluster_test.go
@@ -0,0 +1,255 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/settings"
+	"github.com/figlb/figlb/wire"
+)
+
+// logMachine is a state machine whose state is the list of its commands.
+type logMachine struct {
+	mu    sync.Mutex
+	state logState
+	back  bool // log time went back
+}
+
+type logState struct {
+	Cmds  []string
+	Stamp time.Duration
+}
+
+func (s *logMachine) Apply(_ uint64, logTime time.Duration, cmd []byte) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.back = s.back || logTime < s.state.Stamp
+	s.state.Stamp = logTime
+	s.state.Cmds = append(s.state.Cmds, string(cmd))
+	return cmd
+}
+
+func (s *logMachine) Snapshot() ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return json.Marshal(s.state)
+}
+
+func (s *logMachine) Restore(data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = logState{}
+	return json.Unmarshal(data, &s.state)
+}
+
+func (s *logMachine) all() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.state.Cmds...)
+}
+
+func (s *logMachine) last() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.state.Cmds) == 0 {
+		return ""
+	}
+	return s.state.Cmds[len(s.state.Cmds)-1]
+}
+
+// node is one member of a test cluster.
+type node struct {
+	c      *cluster
+	id     string
+	dir    string
+	links  map[string]*relay // to the other members
+	server *wire.Server
+	r      *Replica
+	sm     *logMachine
+}
+
+// cluster is a set of members in this process, connected through relays.
+type cluster struct {
+	nodes  []*node
+	adjust func(*Config)
+	log    logr.Logger
+}
+
+const testGroup = 1
+
+func newCluster(n int, adjust func(*Config)) *cluster {
+	c := &cluster{adjust: adjust, log: logr.Discard()}
+	if os.Getenv("FIGLB_TEST_LOG") != "" {
+		c.log = funcr.New(func(p, a string) { fmt.Fprintln(GinkgoWriter, time.Now().Format("05.000"), p, a) }, funcr.Options{})
+	}
+	root := GinkgoT().TempDir()
+	for i := range n {
+		id := fmt.Sprintf("m%d", i)
+		c.nodes = append(c.nodes, &node{c: c, id: id, dir: filepath.Join(root, id), links: map[string]*relay{}})
+	}
+	for _, from := range c.nodes {
+		for _, to := range c.nodes {
+			if from != to {
+				from.links[to.id] = newRelay()
+			}
+		}
+	}
+	DeferCleanup(c.close)
+	return c
+}
+
+// startCluster starts all members and waits until all are voters.
+func startCluster(n int, adjust func(*Config)) *cluster {
+	c := newCluster(n, adjust)
+	for _, nd := range c.nodes {
+		nd.start()
+	}
+	c.waitVoters(n)
+	return c
+}
+
+func (c *cluster) close() {
+	for _, nd := range c.nodes {
+		nd.stop()
+		for _, l := range nd.links {
+			l.close()
+		}
+	}
+}
+
+func (nd *node) start() {
+	srv, err := wire.Listen("127.0.0.1:0", nil, logr.Discard())
+	Expect(err).NotTo(HaveOccurred())
+	for _, other := range nd.c.nodes {
+		if l := other.links[nd.id]; l != nil {
+			l.setTarget(srv.Addr())
+		}
+	}
+	nd.server, nd.sm = srv, &logMachine{}
+	cfg := Config{
+		ID: nd.id, DataDir: nd.dir, Server: srv, Log: nd.c.log.WithName(nd.id),
+		Groups:    map[uint32]StateMachine{testGroup: nd.sm},
+		Bootstrap: nd.id == "m0", HelloInterval: 100 * time.Millisecond,
+	}
+	for _, other := range nd.c.nodes {
+		m := settings.Member{ID: other.id, Address: srv.Addr()}
+		if l := nd.links[other.id]; l != nil {
+			m.Address = l.addr()
+		}
+		cfg.Members = append(cfg.Members, m)
+	}
+	if nd.c.adjust != nil {
+		nd.c.adjust(&cfg)
+	}
+	nd.r, err = Start(cfg)
+	Expect(err).NotTo(HaveOccurred())
+	go srv.Serve()
+}
+
+// stop ends a member in order.
+func (nd *node) stop() {
+	if nd.r != nil {
+		_ = nd.r.Close()
+		nd.server.Close()
+		nd.r = nil
+	}
+}
+
+// kill ends a member without writing what is queued.
+func (nd *node) kill() {
+	_ = nd.r.shutdown(true)
+	nd.server.Close()
+	nd.r = nil
+}
+
+func (nd *node) wipe() { Expect(os.RemoveAll(nd.dir)).To(Succeed()) }
+
+// cut separates a member from all others, silently.
+func (nd *node) cut(v bool) {
+	for _, l := range nd.links {
+		l.cut(v)
+	}
+	for _, other := range nd.c.nodes {
+		if l := other.links[nd.id]; l != nil {
+			l.cut(v)
+		}
+	}
+}
+
+// leader returns the running member that leads under a lease, nil if there is none.
+func (c *cluster) leader() *node {
+	for _, nd := range c.nodes {
+		if nd.r != nil && nd.r.IsLeader(testGroup) {
+			return nd
+		}
+	}
+	return nil
+}
+
+func (c *cluster) waitLeader(within time.Duration) *node {
+	var nd *node
+	Eventually(func() *node { nd = c.leader(); return nd }, within, 5*time.Millisecond).ShouldNot(BeNil())
+	return nd
+}
+
+// voters returns the voters as the leader sees them.
+func (c *cluster) voters() []string {
+	nd := c.leader()
+	if nd == nil {
+		return nil
+	}
+	return nd.r.Status()[0].Voters
+}
+
+func (c *cluster) waitVoters(n int) {
+	Eventually(c.voters, 15*time.Second, 10*time.Millisecond).Should(HaveLen(n))
+}
+
+// propose sends a command to whichever member leads, until it is certainly committed. The
+// command may be committed more than once.
+func (c *cluster) propose(cmd string) {
+	Eventually(func() error {
+		nd := c.leader()
+		if nd == nil {
+			return errs.New(errs.NotLeader, "wait", "no leader")
+		}
+		return nd.propose(cmd)
+	}, 10*time.Second, 5*time.Millisecond).Should(Succeed())
+}
+
+func (nd *node) propose(cmd string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, err := nd.r.Propose(ctx, testGroup, []byte(cmd))
+	return err
+}
+
+func (nd *node) read() (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if err := nd.r.ReadIndex(ctx, testGroup); err != nil {
+		return "", err
+	}
+	return nd.sm.last(), nil
+}
+
+func (c *cluster) others(not *node) []*node {
+	var out []*node
+	for _, nd := range c.nodes {
+		if nd != not {
+			out = append(out, nd)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/replica/hello.go
@@ -0,0 +1,102 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/raft"
+)
+
+// Wire methods between members.
+const (
+	methodRaft   = "raft"
+	methodHello  = "raft.hello"
+	methodRemove = "raft.remove"
+)
+
+// helloTimeout is the time after which a connection that answers nothing is replaced.
+const helloTimeout = time.Second
+
+// helloRequest asks a member for its identity and, for the sender's directory, what it has
+// recorded of it.
+type helloRequest struct {
+	Sender raft.Peer
+}
+
+type helloReply struct {
+	Self    raft.Peer
+	Cluster uint64 // 0: the member belongs to no cluster
+	Groups  []helloGroup
+}
+
+// helloGroup is the state of one group at the answering member. Acked is the index that it
+// has recorded as acknowledged by the sender, if it leads the group.
+type helloGroup struct {
+	Group uint32
+	Term  uint64
+	Acked uint64
+}
+
+func (r *Replica) handleHello(_ context.Context, body []byte) (any, error) {
+	var req helloRequest
+	if err := msgpack.Unmarshal(body, &req); err != nil {
+		return nil, errs.New(errs.BadRequest, "upgrade the peer", "hello: %v", err)
+	}
+	inc := r.incarnation()
+	if inc == nil {
+		return nil, errs.New(errs.Unavailable, "retry later", "member %s is starting", r.cfg.ID)
+	}
+	return inc.hello(req), nil
+}
+
+func (inc *incarnation) hello(req helloRequest) helloReply {
+	reply := helloReply{Self: inc.self, Cluster: inc.cluster.Load()}
+	for id, g := range inc.groups {
+		st := g.status.Load()
+		hg := helloGroup{Group: id, Term: st.Term}
+		if st.Role == raft.Leader {
+			hg.Acked = st.Progress[req.Sender].Match
+		}
+		reply.Groups = append(reply.Groups, hg)
+	}
+	return reply
+}
+
+// probe asks a member for its identity at intervals, which also tests the connection.
+func (r *Replica) probe(ctx context.Context, p *peer) {
+	t := time.NewTicker(r.cfg.HelloInterval)
+	defer t.Stop()
+	for {
+		r.callHello(ctx, p)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (r *Replica) callHello(ctx context.Context, p *peer) (helloReply, bool) {
+	inc := r.incarnation()
+	if inc == nil {
+		return helloReply{}, false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	client := p.conn()
+	var reply helloReply
+	err := client.Call(callCtx, methodHello, helloRequest{Sender: inc.self}, &reply)
+	if err != nil {
+		if callCtx.Err() != nil && ctx.Err() == nil {
+			p.reset(client)
+		}
+		return helloReply{}, false
+	}
+	p.mu.Lock()
+	p.info, p.seen = reply, time.Now()
+	p.mu.Unlock()
+	return reply, true
+}
--- /dev/null
+++ b/replica/verify.go
@@ -0,0 +1,122 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/figlb/figlb/raft"
+)
+
+const (
+	verifyInterval = 50 * time.Millisecond
+	// verifyGrace is the time that a restarted member waits for the answers of the members
+	// beyond the necessary ones.
+	verifyGrace = 300 * time.Millisecond
+)
+
+// verify compares a directory that existed before with what the other members have recorded
+// of it, before this member votes. It needs the answers of a majority less one of the other
+// voters in each group.
+func (inc *incarnation) verify(ctx context.Context) {
+	since := time.Now()
+	t := time.NewTicker(verifyInterval)
+	defer t.Stop()
+	for {
+		replies := inc.askAll(ctx)
+		complete := len(replies) == len(inc.r.peers) || time.Since(since) > verifyGrace
+		open := 0
+		for _, g := range inc.groups {
+			if !g.verify(ctx, replies, complete) {
+				open++
+			}
+		}
+		if open == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// askAll calls all other members at once and returns the answers of this cluster.
+func (inc *incarnation) askAll(ctx context.Context) []helloReply {
+	answers := make(chan helloReply, len(inc.r.peers))
+	for _, p := range inc.r.peers {
+		go func() {
+			reply, ok := inc.r.callHello(ctx, p)
+			if !ok || reply.Cluster != inc.cluster.Load() {
+				reply = helloReply{}
+			}
+			answers <- reply
+		}()
+	}
+	var out []helloReply
+	for range inc.r.peers {
+		if reply := <-answers; reply.Cluster != 0 {
+			out = append(out, reply)
+		}
+	}
+	return out
+}
+
+// verify returns whether the group may vote. If an answer shows that acknowledged entries
+// are missing, the directory is discarded.
+func (g *group) verify(ctx context.Context, replies []helloReply, complete bool) bool {
+	verified := false
+	err := g.do(ctx, func(now raft.Time, core *raft.Core) {
+		st := core.Status()
+		verified = st.Verified
+		others, term := 0, uint64(0)
+		for _, reply := range replies {
+			hg, ok := reply.group(g.id)
+			if !ok {
+				continue
+			}
+			if hg.Term >= st.Term && hg.Acked > st.Last {
+				g.inc.discard(g.id)
+				return
+			}
+			if st.Config.IsVoter(reply.Self) {
+				others++
+			}
+			term = max(term, hg.Term)
+		}
+		needed := st.Config.Quorum() - 1
+		if !verified && others >= needed && (complete || needed == 0) {
+			core.SetVerified(now, term)
+			verified = true
+		}
+	})
+	return verified || err != nil
+}
+
+func (h *helloReply) group(id uint32) (helloGroup, bool) {
+	for _, g := range h.Groups {
+		if g.Group == id {
+			return g, true
+		}
+	}
+	return helloGroup{}, false
+}
+
+// freeSegments makes groups with little traffic take a snapshot where their entries are all
+// that keeps the oldest segment of the log.
+func (inc *incarnation) freeSegments(ctx context.Context) {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		for _, id := range inc.wal.Blocking() {
+			if g := inc.groups[id]; g != nil {
+				g.applier.wantSnapshot()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/wal/identity.go
@@ -0,0 +1,50 @@
+package wal
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"github.com/figlb/figlb/raft"
+)
+
+// Identity tells whose data a directory holds.
+type Identity struct {
+	Member      string
+	Incarnation uint64
+	// Cluster is the cluster that the member belongs to; 0 until it has joined one.
+	Cluster uint64
+}
+
+func (l *Log) identityPath() string { return filepath.Join(l.dir, "identity") }
+
+// ReadIdentity returns the identity stored in a data directory, and false if the directory
+// has none yet.
+func ReadIdentity(dir string) (Identity, bool, error) {
+	data, err := os.ReadFile(filepath.Join(dir, "identity"))
+	if os.IsNotExist(err) {
+		return Identity{}, false, nil
+	}
+	if err != nil {
+		return Identity{}, false, errors.WithStack(err)
+	}
+	payload, _, err := nextRecord(data)
+	if err != nil {
+		return Identity{}, false, errors.Wrapf(err, "identity file in %s; discard the directory", dir)
+	}
+	var id Identity
+	if err := raft.Decode(payload, &id); err != nil {
+		return Identity{}, false, errors.Wrapf(err, "identity file in %s; discard the directory", dir)
+	}
+	return id, true, nil
+}
+
+// SetIdentity stores the identity durably.
+func (l *Log) SetIdentity(id Identity) error {
+	rec, err := appendRecord(nil, id)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(writeDurably(l.fs, l.identityPath(), rec), "store identity")
+}
