Run the state members on the replicated log

Cause: until now a member kept its log in memory. Change: figlb-state starts package replica on its data folder; the end-to-end test runs with three members.

--- a/cmd/figlb-state/node.go
+++ b/cmd/figlb-state/node.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"crypto/tls"
+
 	"github.com/go-logr/logr"
 
 	"github.com/figlb/figlb/replica"
@@ -9,10 +11,27 @@
 	"github.com/figlb/figlb/wire"
 )
 
-// startNode starts the replica node. Until replica.Start exists it runs a single member
-// that keeps its log in memory.
-func startNode(_ *settings.StateFile, _ []settings.Member, machines *stateserver.Machines,
-	_ *wire.Server, _ bool, log logr.Logger) (*node, error) {
-	log.Info("running a single member in memory: nothing is durable")
-	return &node{Node: replica.NewLocal(machines.ByGroup()), failed: make(chan error), close: func() {}}, nil
+// startNode starts the replica node on the member's data folder.
+func startNode(file *settings.StateFile, members []settings.Member, machines *stateserver.Machines,
+	w *wire.Server, tlsConf *tls.Config, bootstrap bool, log logr.Logger) (*node, error) {
+	r, err := replica.Start(replica.Config{
+		ID:        file.State.ID,
+		Zone:      file.State.Zone,
+		Members:   members,
+		DataDir:   file.State.Data,
+		Groups:    machines.ByGroup(),
+		Server:    w,
+		TLS:       tlsConf,
+		Bootstrap: bootstrap,
+		Log:       log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	stop := func() {
+		if err := r.Close(); err != nil {
+			log.Error(err, "log not closed cleanly")
+		}
+	}
+	return &node{Node: r, failed: r.Failed(), close: stop}, nil
 }
--- a/cmd/figlb-state/run.go
+++ b/cmd/figlb-state/run.go
@@ -47,7 +47,7 @@
 	}
 	defer w.Close()
 	machines := stateserver.NewMachines(st.Groups)
-	n, err := startNode(file, members, machines, w, bootstrap, log)
+	n, err := startNode(file, members, machines, w, tlsConf, bootstrap, log)
 	if err != nil {
 		return err
 	}
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -14,7 +14,7 @@
 
 var _ = Describe("the whole path", func() {
 	It("serves programs, streams, plain calls and refusals through separate processes", func() {
-		s := startSite(testsite.Options{Members: 1, Entries: 2, Engines: 2, Orders: 1})
+		s := startSite(testsite.Options{Members: 3, Entries: 2, Engines: 2, Orders: 1})
 		c, _ := grant(s, "acme")
 		entries := pick(s.EntryAddrs, 1)
 
