--- a/stateclient/client.go
+++ b/stateclient/client.go
@@ -22,6 +22,9 @@
 	// firstBackoff and maxBackoff space attempts while no leader is known.
 	firstBackoff = 10 * time.Millisecond
 	maxBackoff   = 100 * time.Millisecond
+	// silentPeriod is how long a member that has not answered in time is left out while
+	// there are others.
+	silentPeriod = 500 * time.Millisecond
 )
 
 // Client calls state members. It is safe for concurrent use.
@@ -33,6 +36,9 @@
 	mu      sync.Mutex
 	conns   map[string]*wire.Client
 	leaders map[uint32]string // address by group
+	// silent holds the members that have not answered in time, with the end of the mark.
+	silent map[string]time.Time
+	probes map[string]*probe
 }
 
 // New returns a client of the members at the given addresses of a site with a number of
@@ -50,6 +56,8 @@
 		tlsConf: tlsConf,
 		conns:   map[string]*wire.Client{},
 		leaders: map[uint32]string{},
+		silent:  map[string]time.Time{},
+		probes:  map[string]*probe{},
 	}, nil
 }
 
@@ -90,32 +98,46 @@
 	if addr := c.leaders[group]; addr != "" {
 		return addr
 	}
-	return c.members[rand.IntN(len(c.members))]
+	return c.responsive(rand.IntN(len(c.members)))
 }
 
-func (c *Client) setLeader(group uint32, addr string) {
+// responsive returns the first member from index i on that has not fallen silent, else
+// the member at i. The caller holds mu.
+func (c *Client) responsive(i int) string {
+	for n := range c.members {
+		addr := c.members[(i+n)%len(c.members)]
+		if !c.isSilent(addr) {
+			return addr
+		}
+	}
+	return c.members[i%len(c.members)]
+}
+
+func (c *Client) isSilent(addr string) bool { return time.Now().Before(c.silent[addr]) }
+
+// answered notes the leader of a group.
+func (c *Client) answered(group uint32, addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leaders[group] = addr
+	delete(c.silent, addr)
 }
 
-// forgetLeader drops a cached leader that did not answer.
-func (c *Client) forgetLeader(group uint32, addr string) {
+// next returns the member to try after addr gave no final answer. It follows the hint
+// unless that member is silent or unknown: an unknown address may not be reachable.
+func (c *Client) next(group uint32, addr string, v verdict) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leaders[group] == addr {
 		delete(c.leaders, group)
 	}
-}
-
-// after returns the member to try after addr.
-func (c *Client) after(addr string) string {
-	for i, m := range c.members {
-		if m == addr {
-			return c.members[(i+1)%len(c.members)]
-		}
+	if v.silent {
+		c.silent[addr] = time.Now().Add(silentPeriod)
 	}
-	return c.members[rand.IntN(len(c.members))]
+	if v.leader != addr && slices.Contains(c.members, v.leader) && !c.isSilent(v.leader) {
+		return v.leader
+	}
+	return c.responsive(slices.Index(c.members, addr) + 1)
 }
 
 // request is one call to the leader of a group.
@@ -126,10 +148,14 @@
 	body func(resend bool) any
 	// write tells that the call changes state.
 	write bool
-	// wait is how long the peer may take on purpose.
-	wait time.Duration
+	// wait is how long the peer may take on purpose, unlimited how long it likes. The
+	// peer is probed meanwhile.
+	wait      time.Duration
+	unlimited bool
 }
 
+func (r *request) waits() bool { return r.unlimited || r.wait > 0 }
+
 // call sends a request to the group's leader until there is a final answer.
 func call[R any](ctx context.Context, c *Client, r *request) (*R, error) {
 	var maybe bool
@@ -139,17 +165,11 @@
 		reply, err := attempt[R](ctx, c, addr, r, r.body(n > 0))
 		v := judge(err)
 		if v.final {
-			c.setLeader(r.group, addr)
+			c.answered(r.group, addr)
 			return reply, err
 		}
 		maybe = maybe || v.maybe
-		if v.leader != addr && slices.Contains(c.members, v.leader) {
-			// Other addresses may not be reachable from here.
-			addr = v.leader
-		} else {
-			c.forgetLeader(r.group, addr)
-			addr = c.after(addr)
-		}
+		addr = c.next(r.group, addr, v)
 		if !sleep(ctx, backoff/2+rand.N(backoff/2)) {
 			return nil, gaveUp(r, maybe, err)
 		}
@@ -171,8 +191,14 @@
 // attempt makes one call to one member. It returns when its time is over even if the
 // connection is stuck in a dial or a write.
 func attempt[R any](ctx context.Context, c *Client, addr string, r *request, body any) (*R, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+r.wait)
+	ctx, cancel := attemptContext(ctx, r)
 	defer cancel()
+	var cutOff <-chan struct{}
+	if r.waits() {
+		p := c.watch(addr)
+		defer c.unwatch(addr, p)
+		cutOff = p.failed
+	}
 	type result struct {
 		reply *R
 		err   error
@@ -188,13 +214,23 @@
 		return res.reply, res.err
 	case <-ctx.Done():
 		return nil, ctx.Err()
+	case <-cutOff:
+		return nil, errors.WithStack(errCutOff)
+	}
+}
+
+func attemptContext(ctx context.Context, r *request) (context.Context, context.CancelFunc) {
+	if r.unlimited {
+		return context.WithCancel(ctx)
 	}
+	return context.WithTimeout(ctx, attemptTimeout+r.wait)
 }
 
 // verdict tells what an attempt's error means.
 type verdict struct {
 	final  bool   // the answer stands
 	maybe  bool   // the request may have been run
+	silent bool   // the member did not answer
 	leader string // address of the leader, if the member named it
 }
 
@@ -207,8 +243,10 @@
 		return judgeTyped(e)
 	case errors.Is(err, wire.ErrNotSent):
 		return verdict{}
-	case errors.Is(err, wire.ErrConnLost), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+	case errors.Is(err, wire.ErrConnLost), errors.Is(err, context.Canceled):
 		return verdict{maybe: true}
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, errCutOff):
+		return verdict{maybe: true, silent: true}
 	}
 	return verdict{final: true} // the message could not be encoded or decoded
 }
--- a/stateclient/member.go
+++ b/stateclient/member.go
@@ -2,42 +2,117 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
 	"sync"
+	"time"
 
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/structs"
 )
 
 // Members returns the status of each reachable member and the error of each other one,
 // both by address.
 func (c *Client) Members(ctx context.Context) (map[string]structs.MemberStatus, map[string]error) {
+	return fromAll[structs.MemberStatus](ctx, c, MethodStatus, struct{}{})
+}
+
+// fromAll calls a method of all members once.
+func fromAll[R any](ctx context.Context, c *Client, method string, body any) (map[string]R, map[string]error) {
 	var mu sync.Mutex
-	up, down := map[string]structs.MemberStatus{}, map[string]error{}
+	up, down := map[string]R{}, map[string]error{}
 	var wg sync.WaitGroup
 	for _, addr := range c.members {
 		wg.Go(func() {
-			st, err := attempt[structs.MemberStatus](ctx, c, addr, &request{method: MethodStatus}, struct{}{})
+			reply, err := attempt[R](ctx, c, addr, &request{method: method}, body)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
 				down[addr] = err
 				return
 			}
-			up[addr] = *st
+			up[addr] = *reply
 		})
 	}
 	wg.Wait()
 	return up, down
 }
 
-// memberID is the request of member.remove.
-type memberID struct {
-	ID string `msgpack:"i"`
+// RemoveMember removes a member from all groups: each leader removes it from its own.
+func (c *Client) RemoveMember(ctx context.Context, id string) error {
+	backoff := firstBackoff
+	for {
+		replies, failed := fromAll[structs.GroupsReply](ctx, c, MethodMemberRemove, &structs.RemoveMember{ID: id})
+		done := map[uint32]bool{}
+		for _, r := range replies {
+			for _, g := range r.Groups {
+				done[g] = true
+			}
+		}
+		if len(done) > c.groups {
+			return nil
+		}
+		if len(replies) == 0 || !sleep(ctx, backoff) {
+			return removalFailed(id, len(done), c.groups+1, failed)
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func removalFailed(id string, done, all int, failed map[string]error) error {
+	for _, err := range failed {
+		if e := new(errs.Error); errors.As(err, &e) {
+			return e
+		}
+	}
+	return errs.New(errs.Uncertain, "look at 'figlbctl member list' and repeat the command",
+		"member %s is removed from %d of %d groups", id, done, all).WithRun(errs.RunUnknown)
 }
 
-// RemoveMember removes a member from all groups.
-func (c *Client) RemoveMember(ctx context.Context, id string) error {
-	_, err := call[struct{}](ctx, c, &request{
-		group: ConfigGroup, method: MethodMemberRemove, write: true, body: func(bool) any { return memberID{id} },
-	})
-	return err
+// snapshotWait is how long a member may take to encode or load one group.
+const snapshotWait = 30 * time.Second
+
+// SaveSnapshot returns the state of all groups.
+func (c *Client) SaveSnapshot(ctx context.Context) ([]byte, error) {
+	var site []structs.GroupSnapshot
+	for g := range uint32(c.groups + 1) {
+		r, err := call[structs.GroupSnapshot](ctx, c, &request{
+			group: g, method: MethodSnapshotSave, wait: snapshotWait,
+			body: func(bool) any { return &structs.GroupSnapshot{Group: g} },
+		})
+		if err != nil {
+			return nil, err
+		}
+		site = append(site, *r)
+	}
+	out, err := msgpack.Marshal(site)
+	return out, errors.Wrap(err, "encode snapshot")
+}
+
+// LoadSnapshot replaces the state of all groups of a new site. Repeating it with the same
+// snapshot changes nothing. The configuration comes last, because entries start with it.
+func (c *Client) LoadSnapshot(ctx context.Context, snapshot []byte) error {
+	var site []structs.GroupSnapshot
+	if err := msgpack.Unmarshal(snapshot, &site); err != nil {
+		return errs.New(errs.BadRequest, "check the file", "the file is no snapshot: %v", err)
+	}
+	if len(site) != c.groups+1 {
+		return errs.New(errs.BadRequest, "use a site with the same number of groups",
+			"the snapshot has %d organisation groups, the site %d", len(site)-1, c.groups)
+	}
+	digest := sha256.Sum256(snapshot)
+	for _, g := range slices.Backward(site) {
+		g.RequestID = "load/" + hex.EncodeToString(digest[:])
+		_, err := call[ignored](ctx, c, &request{
+			group: g.Group, method: MethodSnapshotLoad, write: true, wait: snapshotWait, body: func(bool) any { return &g },
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/stateclient/methods.go
+++ b/stateclient/methods.go
@@ -28,11 +28,13 @@
 	MethodSchedAssign     = "sched.assign"
 	MethodSchedRelease    = "sched.release"
 	MethodSchedReport     = "sched.report"
-	MethodMemberList      = "member.list"
-	MethodMemberRemove    = "member.remove"
-	MethodSnapshotSave    = "snapshot.save"
-	MethodSnapshotLoad    = "snapshot.load"
-	MethodStatus          = "status"
+	// MethodSchedTargets lists the targets of the pools of a group as TargetStatus.
+	MethodSchedTargets = "sched.targets"
+	MethodMemberList   = "member.list"
+	MethodMemberRemove = "member.remove"
+	MethodSnapshotSave = "snapshot.save"
+	MethodSnapshotLoad = "snapshot.load"
+	MethodStatus       = "status"
 	// MethodPing answers at once. Clients use it to notice a cut-off member during a
 	// call that waits on purpose.
 	MethodPing = "ping"
--- a/stateclient/query.go
+++ b/stateclient/query.go
@@ -7,9 +7,6 @@
 	"github.com/figlb/figlb/structs"
 )
 
-// waitSlice bounds one waiting query, so that a cut-off member is noticed.
-const waitSlice = time.Second
-
 func query[R any](ctx context.Context, c *Client, group uint32, method string, req any) (*R, error) {
 	return call[R](ctx, c, &request{group: group, method: method, body: func(bool) any { return req }})
 }
@@ -22,31 +19,29 @@
 // GetTurn reads a turn. It waits at most q.Wait for a turn in progress to end.
 func (c *Client) GetTurn(ctx context.Context, q structs.TurnQuery) (*structs.Turn, error) {
 	until := time.Now().Add(q.Wait)
-	for {
-		q.Wait = nextSlice(until)
-		t, err := call[structs.Turn](ctx, c, &request{
-			group: c.OrgGroup(q.Org), method: MethodTurnGet, wait: q.Wait, body: func(bool) any { return &q },
-		})
-		if err != nil || t.State != structs.TurnRunning || !time.Now().Before(until) {
-			return t, err
-		}
-	}
+	return call[structs.Turn](ctx, c, &request{
+		group:  c.OrgGroup(q.Org),
+		method: MethodTurnGet,
+		wait:   q.Wait,
+		body: func(bool) any {
+			next := q
+			next.Wait = max(time.Until(until), 0)
+			return &next
+		},
+	})
 }
 
 // GetCall reads a call. It waits at most q.Wait for a call in progress to end.
 func (c *Client) GetCall(ctx context.Context, q structs.CallQuery) (*structs.Call, error) {
 	until := time.Now().Add(q.Wait)
-	for {
-		q.Wait = nextSlice(until)
-		k, err := call[structs.Call](ctx, c, &request{
-			group: c.OrgGroup(q.Org), method: MethodCallGet, wait: q.Wait, body: func(bool) any { return &q },
-		})
-		if err != nil || k.State != structs.CallRunning || !time.Now().Before(until) {
-			return k, err
-		}
-	}
-}
-
-func nextSlice(until time.Time) time.Duration {
-	return min(max(time.Until(until), 0), waitSlice)
+	return call[structs.Call](ctx, c, &request{
+		group:  c.OrgGroup(q.Org),
+		method: MethodCallGet,
+		wait:   q.Wait,
+		body: func(bool) any {
+			next := q
+			next.Wait = max(time.Until(until), 0)
+			return &next
+		},
+	})
 }
--- a/statemachine/configsm/key.go
+++ b/statemachine/configsm/key.go
@@ -47,12 +47,17 @@
 
 func decodeKey(o structs.Object) structs.Key {
 	var k structs.Key
-	if err := msgpack.Unmarshal(o.Data, &k); err != nil {
-		panic("configsm: stored key: " + err.Error())
-	}
+	decode(o, &k)
 	return k
 }
 
+// decode reads an object that this package has encoded itself.
+func decode(o structs.Object, out any) {
+	if err := msgpack.Unmarshal(o.Data, out); err != nil {
+		panic("configsm: stored " + string(o.Kind) + " " + o.Name + ": " + err.Error())
+	}
+}
+
 func (s *state) hashInUse(hash string) bool {
 	for id, o := range s.objects {
 		if id.kind == structs.KindKey && !o.Deleted && decodeKey(o).Hash == hash {
--- a/statemachine/configsm/machine.go
+++ b/statemachine/configsm/machine.go
@@ -17,12 +17,13 @@
 	OK  structs.ConfigReply `msgpack:"o"`
 }
 
-// Machine is the state machine of group 0. Apply, Snapshot and Restore are called by one
-// goroutine at a time; queries may run concurrently with them.
+// Machine is the state machine of group 0. It is safe for concurrent use.
 type Machine struct {
-	mu       sync.RWMutex
-	state    state
-	requests *reqlog.Log // used by Apply, Snapshot and Restore only
+	mu    sync.RWMutex
+	state state
+	// commands is held by Apply, Snapshot and Restore, before mu.
+	commands sync.Mutex
+	requests *reqlog.Log
 }
 
 // state is everything that is replicated, without the remembered requests.
@@ -57,16 +58,25 @@
 	if err := msgpack.Unmarshal(cmd, &c); err != nil {
 		return reqlog.Encode(Reply{Err: errs.New(errs.BadRequest, "upgrade the sender", "command: %v", err)})
 	}
+	m.commands.Lock()
+	defer m.commands.Unlock()
 	if first, ok := m.requests.Get(c.RequestID); ok {
 		return first
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := reqlog.Encode(m.state.reply(&c, logTime))
+	out := reqlog.Encode(m.reply(&c, logTime))
 	m.requests.Put(c.RequestID, out)
 	return out
 }
 
+func (m *Machine) reply(c *structs.ConfigCommand, now time.Duration) Reply {
+	if c.Restore != nil {
+		return m.restoreEmpty(c.Restore, now)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.reply(c, now)
+}
+
 func (s *state) reply(c *structs.ConfigCommand, now time.Duration) Reply {
 	before := s.revision
 	fencing, err := s.execute(c, now)
--- a/statemachine/configsm/order.go
+++ b/statemachine/configsm/order.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/structs"
 )
@@ -72,9 +70,7 @@
 		return errs.New(errs.NotFound, "check the name in the configuration", "target %q does not exist", name)
 	}
 	var t structs.Target
-	if err := msgpack.Unmarshal(obj.Data, &t); err != nil {
-		return errs.From(err)
-	}
+	decode(obj, &t)
 	if t.Model == "" {
 		return errs.New(errs.BadRequest, "choose a model engine", "target %q is not a model engine", name)
 	}
--- a/statemachine/configsm/query.go
+++ b/statemachine/configsm/query.go
@@ -103,3 +103,60 @@
 	defer m.mu.RUnlock()
 	return slices.Clone(m.state.orders)
 }
+
+// Target returns a declared target.
+func (m *Machine) Target(name string) (structs.Target, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var t structs.Target
+	o, ok := m.state.live(structs.KindTarget, name)
+	if ok {
+		decode(o, &t)
+	}
+	return t, ok
+}
+
+// TargetsOf returns the targets that serve a service, in order of their names.
+func (m *Machine) TargetsOf(service string) []structs.Target {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	o, ok := m.state.live(structs.KindService, service)
+	if !ok {
+		return nil
+	}
+	var v structs.Service
+	decode(o, &v)
+	var out []structs.Target
+	for id, o := range m.state.objects {
+		if id.kind != structs.KindTarget || o.Deleted {
+			continue
+		}
+		var t structs.Target
+		decode(o, &t)
+		if t.Pool() == v.Pool() {
+			out = append(out, t)
+		}
+	}
+	slices.SortFunc(out, func(a, b structs.Target) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// ExpiredFingerprints returns the digests whose quarantine has ended at wall-clock time
+// now, Unix seconds.
+func (m *Machine) ExpiredFingerprints(now int64) []string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var out []string
+	for id, o := range m.state.objects {
+		if id.kind != structs.KindFingerprint || o.Deleted {
+			continue
+		}
+		var f structs.Fingerprint
+		decode(o, &f)
+		if f.ExpiresAt <= now {
+			out = append(out, f.Digest)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/statemachine/configsm/snapshot.go
+++ b/statemachine/configsm/snapshot.go
@@ -2,10 +2,12 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/statemachine/reqlog"
 	"github.com/figlb/figlb/structs"
 )
@@ -24,6 +26,8 @@
 
 // Snapshot implements replica.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
+	m.commands.Lock()
+	defer m.commands.Unlock()
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	s := &m.state
@@ -40,6 +44,12 @@
 
 // Restore implements replica.StateMachine.
 func (m *Machine) Restore(data []byte) error {
+	m.commands.Lock()
+	defer m.commands.Unlock()
+	return m.restore(data)
+}
+
+func (m *Machine) restore(data []byte) error {
 	var in snapshot
 	if err := msgpack.Unmarshal(data, &in); err != nil {
 		return errors.Wrap(err, "decode snapshot of the configuration group")
@@ -57,3 +67,19 @@
 	m.requests.Import(in.Requests)
 	return nil
 }
+
+// restoreEmpty loads a snapshot of another site as a command. Terms and log time of the
+// other site mean nothing here, so the issuer keeps only its fencing number.
+func (m *Machine) restoreEmpty(r *structs.Restore, now time.Duration) Reply {
+	if m.Revision() != 0 {
+		return Reply{Err: errs.New(errs.BadRequest, "load the snapshot into a new site",
+			"the configuration has revision %d already", m.Revision())}
+	}
+	if err := m.restore(r.Snapshot); err != nil {
+		return Reply{Err: errs.New(errs.BadRequest, "check the snapshot file", "%v", err)}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state.issuer = issuer{Fencing: m.state.issuer.Fencing, Renewed: now}
+	return Reply{OK: structs.ConfigReply{Revision: m.state.revision}}
+}
--- a/statemachine/orgsm/machine.go
+++ b/statemachine/orgsm/machine.go
@@ -15,11 +15,13 @@
 // shardCount is the number of separately locked parts of the state.
 const shardCount = 16
 
-// Machine is the state machine of one organisation group. Apply, Snapshot and Restore
-// are called by one goroutine at a time; queries may run concurrently with them.
+// Machine is the state machine of one organisation group. It is safe for concurrent use.
 type Machine struct {
-	shards   [shardCount]shard
-	requests *reqlog.Log // used by Apply, Snapshot and Restore only
+	shards [shardCount]shard
+	// commands is held by Apply, Snapshot and Restore, before the lock of a shard.
+	commands sync.Mutex
+	requests *reqlog.Log
+	last     time.Duration // highest log time seen
 }
 
 type shard struct {
@@ -47,9 +49,12 @@
 	if err := msgpack.Unmarshal(cmd, &c); err != nil {
 		return reqlog.Encode(refuse(errs.New(errs.BadRequest, "upgrade the sender", "command: %v", err)))
 	}
+	m.commands.Lock()
+	defer m.commands.Unlock()
 	if first, ok := m.requests.Get(c.RequestID); ok {
 		return m.replay(&c, first)
 	}
+	m.last = max(m.last, logTime)
 	reply := m.execute(&c, logTime)
 	out := reqlog.Encode(reply)
 	m.requests.Put(c.RequestID, compact(reply, out))
@@ -61,6 +66,9 @@
 		m.expireAll(c.Expire, now)
 		return structs.OrgReply{}
 	}
+	if c.Restore != nil {
+		return m.restoreEmpty(c.Restore, now)
+	}
 	s := m.shard(c.Org)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/statemachine/orgsm/query.go
+++ b/statemachine/orgsm/query.go
@@ -143,7 +143,8 @@
 		s := &m.shards[i]
 		s.mu.RLock()
 		for name, o := range s.orgs {
-			for r := range o.releases {
+			for r, seq := range o.releases {
+				r.Seq = seq
 				out = append(out, OrgRelease{Org: name, Release: r})
 			}
 		}
--- a/statemachine/orgsm/release.go
+++ b/statemachine/orgsm/release.go
@@ -28,14 +28,19 @@
 }
 
 func (o *org) queueRelease(program, target string) {
-	if target != "" {
-		o.releases[structs.Release{Program: program, Target: target}] = struct{}{}
+	if target == "" {
+		return
 	}
+	o.releaseSeq++
+	o.releases[structs.Release{Program: program, Target: target}] = o.releaseSeq
 }
 
 func (o *org) released(c *structs.Released) structs.OrgReply {
 	for _, r := range c.Releases {
-		delete(o.releases, r)
+		id := structs.Release{Program: r.Program, Target: r.Target}
+		if o.releases[id] == r.Seq {
+			delete(o.releases, id)
+		}
 	}
 	return structs.OrgReply{}
 }
--- a/statemachine/orgsm/snapshot.go
+++ b/statemachine/orgsm/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -15,6 +16,8 @@
 type snapshot struct {
 	Orgs     []orgSnapshot  `msgpack:"o"`
 	Requests []reqlog.Entry `msgpack:"r"`
+	// Last is the log time of the last command.
+	Last time.Duration `msgpack:"t"`
 }
 
 type orgSnapshot struct {
@@ -25,11 +28,15 @@
 	Programs []*program        `msgpack:"p"`
 	Calls    []*call           `msgpack:"c"`
 	Releases []structs.Release `msgpack:"e"`
+	// ReleaseSeq is the last number given to a release.
+	ReleaseSeq uint64 `msgpack:"q"`
 }
 
 // Snapshot implements replica.StateMachine.
 func (m *Machine) Snapshot() ([]byte, error) {
-	out := snapshot{Requests: m.requests.Export()}
+	m.commands.Lock()
+	defer m.commands.Unlock()
+	out := snapshot{Requests: m.requests.Export(), Last: m.last}
 	for i := range m.shards {
 		m.shards[i].mu.RLock()
 		defer m.shards[i].mu.RUnlock()
@@ -42,14 +49,15 @@
 }
 
 func (o *org) snapshot() orgSnapshot {
-	s := orgSnapshot{Name: o.name, Seen: o.seen, Limits: o.limits, Bucket: o.bucket}
+	s := orgSnapshot{Name: o.name, Seen: o.seen, Limits: o.limits, Bucket: o.bucket, ReleaseSeq: o.releaseSeq}
 	for _, id := range sortedKeys(o.programs) {
 		s.Programs = append(s.Programs, o.programs[id])
 	}
 	for _, key := range sortedKeys(o.calls) {
 		s.Calls = append(s.Calls, o.calls[key])
 	}
-	for r := range o.releases {
+	for r, seq := range o.releases {
+		r.Seq = seq
 		s.Releases = append(s.Releases, r)
 	}
 	slices.SortFunc(s.Releases, compareRelease)
@@ -66,6 +74,12 @@
 
 // Restore implements replica.StateMachine. Waiting queries are woken.
 func (m *Machine) Restore(data []byte) error {
+	m.commands.Lock()
+	defer m.commands.Unlock()
+	return m.restore(data)
+}
+
+func (m *Machine) restore(data []byte) error {
 	var in snapshot
 	if err := msgpack.Unmarshal(data, &in); err != nil {
 		return errors.Wrap(err, "decode snapshot of an organisation group")
@@ -79,6 +93,7 @@
 		sh.mu.Unlock()
 	}
 	m.requests.Import(in.Requests)
+	m.last = in.Last
 	return nil
 }
 
@@ -98,6 +113,7 @@
 
 func restoreOrg(s orgSnapshot) *org {
 	o := newOrg(s.Name)
+	o.releaseSeq = s.ReleaseSeq
 	o.seen, o.limits, o.bucket = s.Seen, s.Limits, s.Bucket
 	for _, p := range s.Programs {
 		o.programs[p.Rec.ID] = p
@@ -106,7 +122,7 @@
 		o.calls[k.Rec.Key] = k
 	}
 	for _, r := range s.Releases {
-		o.releases[r] = struct{}{}
+		o.releases[structs.Release{Program: r.Program, Target: r.Target}] = r.Seq
 	}
 	return o
 }
--- a/statemachine/orgsm/state.go
+++ b/statemachine/orgsm/state.go
@@ -15,7 +15,9 @@
 	bucket   bucket
 	programs map[string]*program
 	calls    map[string]*call
-	releases map[structs.Release]struct{}
+	// releases holds the pending releases with Seq 0 as keys and their Seq as values.
+	releases   map[structs.Release]uint64
+	releaseSeq uint64
 	// watch holds the channels of waiting queries. It is not replicated.
 	watch map[string]chan struct{}
 }
@@ -25,7 +27,7 @@
 		name:     name,
 		programs: map[string]*program{},
 		calls:    map[string]*call{},
-		releases: map[structs.Release]struct{}{},
+		releases: map[structs.Release]uint64{},
 		watch:    map[string]chan struct{}{},
 	}
 }
--- a/stateserver/jobs.go
+++ b/stateserver/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/figlb/figlb/errs"
@@ -12,17 +13,28 @@
 const (
 	// expiryPeriod is how often each group's leader looks for idle programs.
 	expiryPeriod = 10 * time.Second
+	// fingerprintPeriod is how often the config leader looks for expired fingerprints.
+	fingerprintPeriod = 10 * time.Second
 	// jobTimeout bounds one proposal of a background job.
 	jobTimeout = 5 * time.Second
 )
 
 // Run runs the background jobs until ctx ends.
 func (s *Server) Run(ctx context.Context) {
-	s.every(ctx, min(expiryPeriod, max(s.ProgramIdle/2, time.Second)), s.expireAll)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	start := func(period time.Duration, job func(context.Context)) {
+		wg.Go(func() { every(ctx, period, job) })
+	}
+	start(min(expiryPeriod, max(s.ProgramIdle/2, time.Second)), s.expireAll)
+	start(fingerprintPeriod, s.liftExpired)
+	start(releasePeriod, newReleaser(s).round)
+	start(orderPeriod, newIssuer(s).round)
+	start(membershipTick, func(context.Context) { s.entries.tick() })
 }
 
 // every calls job at once and then in each period.
-func (s *Server) every(ctx context.Context, period time.Duration, job func(context.Context)) {
+func every(ctx context.Context, period time.Duration, job func(context.Context)) {
 	t := time.NewTicker(period)
 	defer t.Stop()
 	for {
@@ -51,6 +63,25 @@
 	}
 }
 
+// liftExpired ends the quarantines whose time is over.
+func (s *Server) liftExpired(ctx context.Context) {
+	if !s.Node.IsLeader(stateclient.ConfigGroup) {
+		return
+	}
+	for _, digest := range s.Machines.Config.ExpiredFingerprints(time.Now().Unix()) {
+		c := &structs.ConfigCommand{
+			RequestID: stateclient.NewRequestID(), Author: s.ID,
+			LiftFingerprint: &structs.LiftFingerprint{Digest: digest},
+		}
+		ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+		_, err := s.proposeConfig(ctx, c)
+		cancel()
+		if err != nil {
+			s.logJob("fingerprint expiry", stateclient.ConfigGroup, err)
+		}
+	}
+}
+
 func (s *Server) proposeJob(ctx context.Context, group uint32, c *structs.OrgCommand) (*structs.OrgReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
 	defer cancel()
--- a/stateserver/member.go
+++ b/stateserver/member.go
@@ -3,21 +3,76 @@
 import (
 	"context"
 
+	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/stateclient"
 	"github.com/figlb/figlb/structs"
 	"github.com/figlb/figlb/wire"
 )
 
+// none is the request of methods without arguments.
+type none struct{}
+
 func (s *Server) registerMember(w *wire.Server) {
-	handle(s, w, stateclient.MethodPing, func(context.Context, *struct{}) (any, error) { return struct{}{}, nil })
-	handle(s, w, stateclient.MethodStatus, func(context.Context, *struct{}) (any, error) { return s.status(), nil })
+	handle(s, w, stateclient.MethodPing, func(context.Context, *none) (any, error) { return none{}, nil })
+	handle(s, w, stateclient.MethodStatus, func(context.Context, *none) (any, error) { return s.status(), nil })
+	handle(s, w, stateclient.MethodMemberList, func(context.Context, *none) (any, error) { return s.listMembers(), nil })
+	handle(s, w, stateclient.MethodMemberRemove, s.removeMember)
+	handle(s, w, stateclient.MethodSnapshotSave, s.saveSnapshot)
+	handle(s, w, stateclient.MethodSnapshotLoad, s.loadSnapshot)
 }
 
-func (s *Server) status() *structs.MemberStatus {
-	out := &structs.MemberStatus{ID: s.ID, Zone: s.Zone, Address: s.address(s.ID)}
+func (s *Server) status() structs.MemberStatus {
+	if s.Status != nil {
+		return s.Status()
+	}
+	out := structs.MemberStatus{ID: s.ID, Zone: s.Zone, Address: s.address(s.ID)}
 	for g := 0; g <= s.groups; g++ {
 		leader, term := s.Node.Leader(uint32(g))
 		out.Groups = append(out.Groups, structs.GroupStatus{Group: uint32(g), Term: term, Leader: leader})
 	}
 	return out
 }
+
+// listMembers returns the members of the settings.
+func (s *Server) listMembers() []structs.MemberStatus {
+	var out []structs.MemberStatus
+	for _, m := range s.Members {
+		out = append(out, structs.MemberStatus{ID: m.ID, Address: m.Address})
+	}
+	return out
+}
+
+func (s *Server) removeMember(ctx context.Context, r *structs.RemoveMember) (any, error) {
+	if s.RemoveMember == nil {
+		return nil, errs.New(errs.Unavailable, "upgrade this member", "this member cannot change the membership")
+	}
+	groups, err := s.RemoveMember(ctx, r.ID)
+	if err != nil {
+		return nil, err
+	}
+	return &structs.GroupsReply{Groups: groups}, nil
+}
+
+// saveSnapshot returns the state of one group.
+func (s *Server) saveSnapshot(ctx context.Context, r *structs.GroupSnapshot) (any, error) {
+	if err := s.read(ctx, r.Group); err != nil {
+		return nil, err
+	}
+	data, err := s.Machines.ByGroup()[r.Group].Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return &structs.GroupSnapshot{Group: r.Group, Data: data}, nil
+}
+
+// loadSnapshot replaces the state of one empty group through its log.
+func (s *Server) loadSnapshot(ctx context.Context, r *structs.GroupSnapshot) (any, error) {
+	restore := &structs.Restore{Snapshot: r.Data}
+	if r.Group == stateclient.ConfigGroup {
+		return s.proposeConfig(ctx, &structs.ConfigCommand{RequestID: r.RequestID, Author: "snapshot load", Restore: restore})
+	}
+	if s.Machines.Orgs[r.Group] == nil {
+		return nil, errs.New(errs.BadRequest, "use a site with the same number of groups", "group %d does not exist", r.Group)
+	}
+	return s.proposeOrg(ctx, r.Group, &structs.OrgCommand{RequestID: r.RequestID, Restore: restore})
+}
--- a/stateserver/membership.go
+++ b/stateserver/membership.go
@@ -14,6 +14,13 @@
 // stops work 3 s after its last confirmed poll was sent; 1 s is margin.
 const entryTimeout = 4 * time.Second
 
+const (
+	membershipTick = 200 * time.Millisecond
+	// maxTickGap is the longest pause between ticks after which the list still counts. A
+	// process that was frozen for longer has missed polls.
+	maxTickGap = time.Second
+)
+
 // membership is the config leader's list of entries. It belongs to one term: a new
 // leader starts with an empty list and knows all entries after entryTimeout.
 type membership struct {
@@ -24,6 +31,8 @@
 	term  uint64
 	since time.Time
 	polls map[string]poll // by incarnation
+	// ticked is when the process was last known to run; zero before the first tick.
+	ticked time.Time
 }
 
 type poll struct {
@@ -55,12 +64,30 @@
 	}
 }
 
+// tick tells that the process runs. After a gap the list starts anew.
+func (m *membership) tick() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.startTerm()
+	m.checkGap()
+	m.ticked = m.now()
+}
+
+// checkGap gives all entries the benefit of the doubt after the process was frozen.
+func (m *membership) checkGap() {
+	if !m.ticked.IsZero() && m.now().Sub(m.ticked) > maxTickGap {
+		m.since = m.now()
+		m.ticked = m.since
+	}
+}
+
 // live returns the incarnations of live entries in order. It returns none while this
 // leader is too new to know them all: then no entry may be taken for dead.
 func (m *membership) live() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.startTerm()
+	m.checkGap()
 	if m.now().Sub(m.since) < entryTimeout {
 		return nil
 	}
--- a/stateserver/server.go
+++ b/stateserver/server.go
@@ -15,6 +15,7 @@
 	"github.com/figlb/figlb/stateclient"
 	"github.com/figlb/figlb/statemachine/configsm"
 	"github.com/figlb/figlb/statemachine/orgsm"
+	"github.com/figlb/figlb/structs"
 	"github.com/figlb/figlb/wire"
 )
 
@@ -55,6 +56,10 @@
 	KeepEnded   time.Duration
 	Log         logr.Logger
 	Metrics     metrics.Registry
+	// Status and RemoveMember are the replica's; nil where it has none. RemoveMember
+	// removes a member from the groups that this member leads and names them.
+	Status       func() structs.MemberStatus
+	RemoveMember func(ctx context.Context, id string) ([]uint32, error)
 }
 
 // Server answers the calls of entries, operators and members.
@@ -90,7 +95,9 @@
 // handle registers a handler with a decoded request. Errors leave in the form that
 // clients understand.
 func handle[Req any](s *Server, w *wire.Server, method string, h func(context.Context, *Req) (any, error)) {
+	timer := metrics.GetOrRegisterTimer("rpc."+method, s.Metrics)
 	w.Handle(method, func(ctx context.Context, body []byte) (any, error) {
+		defer timer.UpdateSince(time.Now())
 		req := new(Req)
 		if err := msgpack.Unmarshal(body, req); err != nil {
 			return nil, errs.New(errs.BadRequest, "upgrade the sender", "%s: %v", method, err)
--- a/structs/configcmd.go
+++ b/structs/configcmd.go
@@ -17,6 +17,7 @@
 	AcquireIssuer   *AcquireIssuer   `msgpack:"i,omitempty"`
 	SubmitOrder     *EngineOrder     `msgpack:"o,omitempty"`
 	UpdateOrder     *UpdateOrder     `msgpack:"p,omitempty"`
+	Restore         *Restore         `msgpack:"r,omitempty"`
 }
 
 // ApplyConfig replaces the declared objects.
--- a/structs/program.go
+++ b/structs/program.go
@@ -25,6 +25,13 @@
 	Expire      *Expire      `msgpack:"h,omitempty"`
 	Released    *Released    `msgpack:"i,omitempty"`
 	Debit       *Debit       `msgpack:"j,omitempty"`
+	Restore     *Restore     `msgpack:"k,omitempty"`
+}
+
+// Restore replaces the state of an empty group by a snapshot of the same group of
+// another site.
+type Restore struct {
+	Snapshot []byte `msgpack:"s"`
 }
 
 // Limits are an organisation's limits at a configuration revision. A state machine
@@ -278,6 +285,9 @@
 type Release struct {
 	Program string `msgpack:"p"`
 	Target  string `msgpack:"t"`
+	// Seq changes when the release is queued again. A confirmation counts only for the
+	// number it was made for: the engine may have stored the cache anew since.
+	Seq uint64 `msgpack:"s,omitempty"`
 }
 
 // Released records releases that the engines have confirmed.
--- a/structs/status.go
+++ b/structs/status.go
@@ -29,3 +29,21 @@
 	Limit    int    `msgpack:"l" json:"limit"`
 	Requests int64  `msgpack:"r" json:"requests"`
 }
+
+// GroupSnapshot is the state of one group.
+type GroupSnapshot struct {
+	Group uint32 `msgpack:"g"`
+	// RequestID makes a resend of a load return the first answer.
+	RequestID string `msgpack:"q,omitempty"`
+	Data      []byte `msgpack:"d,omitempty"`
+}
+
+// RemoveMember removes a state member from the groups that the receiver leads.
+type RemoveMember struct {
+	ID string `msgpack:"i"`
+}
+
+// GroupsReply names the groups in which the receiver has carried out a command.
+type GroupsReply struct {
+	Groups []uint32 `msgpack:"g"`
+}
