--- a/stateclient/sched.go
+++ b/stateclient/sched.go
@@ -2,58 +2,60 @@
 
 import (
 	"context"
+	"sync"
 
-	"github.com/vmihailenco/msgpack/v5"
-
-	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/structs"
 )
 
-// ignored is a reply whose content does not matter.
-type ignored struct{}
-
-// DecodeMsgpack skips the reply.
-func (*ignored) DecodeMsgpack(d *msgpack.Decoder) error { return d.Skip() }
+// methodSchedStatus is package dispatch's method; an empty pool means all pools that the
+// member schedules.
+const methodSchedStatus = "sched.status"
 
-// Assign waits in the queue of a pool's scheduler for a target, until ctx ends. After a
-// change of leader it is sent again under the same id.
-func (c *Client) Assign(ctx context.Context, r structs.AssignRequest) (*structs.Assignment, error) {
-	return call[structs.Assignment](ctx, c, &request{
-		group: c.PoolGroup(r.Pool), method: MethodSchedAssign, unlimited: true, body: func(bool) any { return &r },
-	})
+// Targets returns the targets as the schedulers of all reachable members see them.
+func (c *Client) Targets(ctx context.Context) ([]structs.TargetStatus, error) {
+	var mu sync.Mutex
+	var out []structs.TargetStatus
+	var last error
+	answered := false
+	var wg sync.WaitGroup
+	for _, addr := range c.members {
+		wg.Go(func() {
+			part, err := attempt[[]structs.TargetStatus](ctx, c, addr, &request{method: methodSchedStatus}, &structs.PoolQuery{})
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				last = err
+				return
+			}
+			answered = true
+			out = append(out, *part...)
+		})
+	}
+	wg.Wait()
+	if !answered {
+		return nil, last
+	}
+	return out, nil
 }
 
-// ReleaseSlot gives a slot back.
-func (c *Client) ReleaseSlot(ctx context.Context, r structs.ReleaseSlot) error {
-	_, err := query[ignored](ctx, c, c.PoolGroup(r.Pool), MethodSchedRelease, &r)
-	return err
+// LeaderAddress returns the address to try first for a group.
+func (c *Client) LeaderAddress(_ context.Context, group uint32) (string, error) {
+	return c.leader(group), nil
 }
 
-// ReportSlots lists an entry's slots in use in one pool.
-func (c *Client) ReportSlots(ctx context.Context, r structs.ReportSlots) error {
-	_, err := query[ignored](ctx, c, c.PoolGroup(r.Pool), MethodSchedReport, &r)
-	return err
+// LeaderFailed tells that addr did not answer as the leader of a group. hint is the
+// leader's address if the member named one.
+func (c *Client) LeaderFailed(group uint32, addr, hint string) {
+	next := c.next(group, addr, verdict{leader: hint, silent: hint == ""})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaders[group] = next
 }
 
-// Targets returns the targets as their schedulers see them. A scheduler lists the
-// targets of the pools that it leads.
-func (c *Client) Targets(ctx context.Context) ([]structs.TargetStatus, error) {
-	var out []structs.TargetStatus
-	seen := map[string]bool{}
-	for g := 1; g <= c.groups; g++ {
-		list, err := query[[]structs.TargetStatus](ctx, c, uint32(g), MethodSchedTargets, &structs.GroupSnapshot{Group: uint32(g)})
-		if errs.Is(err, errs.NotFound) {
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
-		for _, t := range *list {
-			if !seen[t.Name] {
-				seen[t.Name] = true
-				out = append(out, t)
-			}
-		}
-	}
-	return out, nil
+// Conn returns the connection to a member; schedulers are called on it.
+func (c *Client) Conn(addr string) Conn { return c.conn(addr) }
+
+// Conn calls methods of one member.
+type Conn interface {
+	Call(ctx context.Context, method string, req, reply any) error
 }
