--- a/stateclient/sched.go
+++ b/stateclient/sched.go
@@ -46,11 +46,10 @@
 // LeaderFailed tells that addr did not answer as the leader of a group. hint is the
 // leader's address if the member named one.
 func (c *Client) LeaderFailed(group uint32, addr, hint string) {
-	if hint != "" && hint != addr {
-		c.setLeader(group, hint)
-		return
-	}
-	c.setLeader(group, c.after(addr))
+	next := c.next(group, addr, verdict{leader: hint, silent: hint == ""})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaders[group] = next
 }
 
 // Conn returns the connection to a member; schedulers are called on it.
