--- a/cmd/figlb-state/node.go
+++ b/cmd/figlb-state/node.go
@@ -1,13 +1,16 @@
 package main
 
 import (
+	"context"
 	"crypto/tls"
 
 	"github.com/go-logr/logr"
 
 	"github.com/figlb/figlb/replica"
 	"github.com/figlb/figlb/settings"
+	"github.com/figlb/figlb/stateclient"
 	"github.com/figlb/figlb/stateserver"
+	"github.com/figlb/figlb/structs"
 	"github.com/figlb/figlb/wire"
 )
 
@@ -33,5 +36,26 @@
 			log.Error(err, "log not closed cleanly")
 		}
 	}
-	return &node{Node: r, failed: r.Failed(), close: stop}, nil
+	return &node{Node: r, replica: r, groups: file.State.Groups, failed: r.Failed(), close: stop}, nil
+}
+
+// status describes the member for operators.
+func (n *node) status(id, zone, address string) structs.MemberStatus {
+	return structs.MemberStatus{ID: id, Address: address, Zone: zone, Incarnation: n.replica.Incarnation(), Groups: n.replica.Status()}
+}
+
+// removeMember removes a member from all groups. Only the leader of group 0 does so,
+// because a second removal would hit an incarnation that has joined since.
+func (n *node) removeMember(ctx context.Context, id string) ([]uint32, error) {
+	if !n.IsLeader(stateclient.ConfigGroup) {
+		return nil, nil
+	}
+	if err := n.replica.RemoveMember(ctx, id); err != nil {
+		return nil, err
+	}
+	var all []uint32
+	for g := range n.groups + 1 {
+		all = append(all, uint32(g))
+	}
+	return all, nil
 }
--- a/cmd/figlb-state/run.go
+++ b/cmd/figlb-state/run.go
@@ -16,6 +16,7 @@
 	"github.com/figlb/figlb/settings"
 	"github.com/figlb/figlb/stateclient"
 	"github.com/figlb/figlb/stateserver"
+	"github.com/figlb/figlb/structs"
 	"github.com/figlb/figlb/telemetry"
 	"github.com/figlb/figlb/wire"
 )
@@ -23,6 +24,8 @@
 // node is a running replica node.
 type node struct {
 	replica.Node
+	replica *replica.Replica
+	groups  int
 	// failed delivers the error of a failed sync, after which the member must stop.
 	failed <-chan error
 	close  func()
@@ -56,6 +59,8 @@
 		Node: n, Machines: machines, ID: st.ID, Zone: st.Zone, Members: members,
 		ProgramIdle: st.ProgramIdle, KeepEnded: st.KeepEnded,
 		Log: log, Metrics: metrics.DefaultRegistry,
+		Status:       func() structs.MemberStatus { return n.status(st.ID, st.Zone, w.Addr()) },
+		RemoveMember: n.removeMember,
 	})
 	srv.Register(w)
 	stopScheduler, err := startScheduler(st, members, n, w, tlsConf, log)
--- a/cmd/figlbctl/main.go
+++ b/cmd/figlbctl/main.go
@@ -2,13 +2,11 @@
 package main
 
 import (
-	"context"
 	"os"
 	"path/filepath"
 	"strings"
 
 	"github.com/figlb/figlb/command"
-	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/pki"
 	"github.com/figlb/figlb/settings"
 	"github.com/figlb/figlb/stateclient"
@@ -19,9 +17,6 @@
 	os.Exit(command.Run(env, os.Args[1:]))
 }
 
-// api joins the state client to the verbs.
-type api struct{ *stateclient.Client }
-
 func connect(c *command.Common) (command.API, error) {
 	var members []string
 	for _, m := range strings.Split(c.State, ",") {
@@ -37,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return api{client}, nil
+	return client, nil
 }
 
 func tlsSettings(dir string) settings.TLS {
@@ -50,11 +45,3 @@
 		Key:  filepath.Join(dir, "operator.key"),
 	}
 }
-
-func (a api) SaveSnapshot(context.Context) ([]byte, error) {
-	return nil, errs.New(errs.Unavailable, "copy the data folder of a stopped member", "snapshots over the network are not implemented")
-}
-
-func (a api) LoadSnapshot(context.Context, []byte) error {
-	return errs.New(errs.Unavailable, "restore the data folder of a stopped member", "snapshots over the network are not implemented")
-}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
@@ -301,6 +302,16 @@
 	return r.now() + g.view.Load().logOffset
 }
 
+// Incarnation returns the identity of the data directory's life, in hexadecimal; empty
+// while it is replaced.
+func (r *Replica) Incarnation() string {
+	inc := r.incarnation()
+	if inc == nil {
+		return ""
+	}
+	return strconv.FormatUint(inc.self.Incarnation, 16)
+}
+
 // Status returns the state of each group as this member sees it, in group order.
 func (r *Replica) Status() []structs.GroupStatus {
 	inc := r.incarnation()
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,12 +7,16 @@
 
 site=${1:-neng}
 seconds=${2:-20}
-overlay=examples/$site.ini
-[ -e "$overlay" ] || { echo "unknown site $site: use neng or ng-south" >&2; exit 2; }
+[ -e "examples/$site.ini" ] || { echo "unknown site $site: use neng or ng-south" >&2; exit 2; }
 
 members=${MEMBERS:-3}
 entries=6
 dir=$(mktemp -d)
+# The processes use loopback addresses of a random network, so that two runs at the same
+# time do not meet.
+net=127.$((RANDOM % 200 + 20))
+overlay=$dir/$site.ini
+sed "s/127\.0\./$net./" "examples/$site.ini" >"$overlay"
 pids=()
 stop() {
 	for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
@@ -56,8 +60,8 @@
 list=
 state=
 for i in $(seq $members); do
-	list+="${list:+,}state-$i=127.0.30.$i:7000"
-	state+="${state:+,}127.0.30.$i:7000"
+	list+="${list:+,}state-$i=$net.30.$i:7000"
+	state+="${state:+,}$net.30.$i:7000"
 done
 export FIGLB_STATE=$state
 ready=()
@@ -66,8 +70,8 @@
 		[state]
 		id = state-$i
 		zone = ${zone[$(((i - 1) % ${#zone[@]}))]}
-		listen = 127.0.30.$i:7000
-		admin = 127.0.30.$i:7001
+		listen = $net.30.$i:7000
+		admin = $net.30.$i:7001
 		data = $dir/data-$i
 		members = $list
 	EOF
@@ -76,11 +80,11 @@
 	else
 		start "state-$i" bin/figlb-state -config "$dir/state-$i.ini"
 	fi
-	ready+=("127.0.30.$i:7001")
+	ready+=("$net.30.$i:7001")
 done
 wait_ready "${ready[@]}"
 
-step "applying examples/base.ini with $overlay"
+step "applying examples/base.ini with examples/$site.ini"
 bin/figlbctl plan -base examples/base.ini -overlay "$overlay" | tail -n 3
 bin/figlbctl apply -base examples/base.ini -overlay "$overlay" -from 0 -note "first"
 
@@ -91,14 +95,14 @@
 		[entry]
 		id = entry-$i
 		zone = ${zone[$(((i - 1) % ${#zone[@]}))]}
-		listen = 127.0.31.$i:8000
-		admin = 127.0.31.$i:8001
+		listen = $net.31.$i:8000
+		admin = $net.31.$i:8001
 		state = $state
 		drain_notice = 500ms
 	EOF
 	start "entry-$i" bin/figlb-entry -config "$dir/entry-$i.ini"
-	ready+=("127.0.31.$i:8001")
-	urls+="${urls:+,}http://127.0.31.$i:8000"
+	ready+=("$net.31.$i:8001")
+	urls+="${urls:+,}http://$net.31.$i:8000"
 done
 wait_ready "${ready[@]}"
 
@@ -114,7 +118,7 @@
 sleep 2
 
 step "running programs for $seconds s; zone ${zone[0]} goes out after a third and returns after two thirds"
-bin/figlb-load -config "$dir/load.ini" -entries "$urls" -duration "${seconds}s" >"$dir/report.txt" &
+bin/figlb-load -config "$dir/load.ini" -entries "$urls" -executions "http://$(addresses "service = orders" | cut -d, -f1)" -duration "${seconds}s" >"$dir/report.txt" &
 load=$!
 sleep $((seconds / 3))
 bin/figlbctl drain zone "${zone[0]}"
