--- a/cmd/figlb-standin/main.go
+++ b/cmd/figlb-standin/main.go
@@ -5,7 +5,6 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"os"
 	"os/signal"
@@ -50,5 +49,3 @@
 	<-stop
 	return nil
 }
-
-func newFlags() *flag.FlagSet { return flag.NewFlagSet("figlb-standin", flag.ContinueOnError) }
--- a/cmd/figlb-standin/options.go
+++ b/cmd/figlb-standin/options.go
@@ -5,11 +5,22 @@
 	"net"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/figlb/figlb/standin/engine"
+	"github.com/figlb/figlb/standin/hostlist"
 	"github.com/figlb/figlb/standin/orders"
+	"github.com/figlb/figlb/standin/tools"
+	"github.com/figlb/figlb/standin/weights"
+)
+
+const (
+	defaultToolDelay   = 100 * time.Millisecond
+	defaultWeightRate  = 64 << 20  // bytes per second
+	defaultWeightBytes = 256 << 20 // bytes per object
+	defaultListLag     = 2 * time.Second
 )
 
 // standin is a running stand-in.
@@ -19,19 +30,27 @@
 }
 
 type options struct {
-	role    string
-	listen  string
-	engines int
-	engine  engine.Config
+	role        string
+	listen      string
+	count       int
+	engine      engine.Config
+	toolDelay   time.Duration
+	weightRate  int
+	weightBytes int
+	listLag     time.Duration
 }
 
 func parse(args []string) (*options, error) {
 	o := &options{engine: engine.DefaultConfig()}
-	f := newFlags()
+	f := flag.NewFlagSet("figlb-standin", flag.ContinueOnError)
 	f.StringVar(&o.role, "role", "engine", "engine, orders, tools, weights or hostlist")
 	f.StringVar(&o.listen, "listen", "127.0.0.1:0", "addresses ip:port, separated by commas; one stand-in each")
-	f.IntVar(&o.engines, "engines", 1, "number of stand-ins on consecutive ports of a single -listen address")
-	o.engineFlags(f)
+	f.IntVar(&o.count, "engines", 1, "number of stand-ins on consecutive ports of a single -listen address")
+	f.DurationVar(&o.toolDelay, "tool-delay", defaultToolDelay, "tools: time of a call")
+	f.IntVar(&o.weightRate, "weight-rate", defaultWeightRate, "weights: bytes per second of all downloads together")
+	f.IntVar(&o.weightBytes, "weight-bytes", defaultWeightBytes, "weights: bytes of an object")
+	f.DurationVar(&o.listLag, "list-lag", defaultListLag, "hostlist: time after which a change shows")
+	engineFlags(f, &o.engine)
 	if err := f.Parse(args); err != nil {
 		return nil, err
 	}
@@ -41,8 +60,7 @@
 	return o, nil
 }
 
-func (o *options) engineFlags(f *flag.FlagSet) {
-	c := &o.engine
+func engineFlags(f *flag.FlagSet, c *engine.Config) {
 	f.IntVar(&c.MaxBatch, "max-batch", c.MaxBatch, "engine: most requests that run at the same time")
 	f.DurationVar(&c.StepBase, "step-base", c.StepBase, "engine: time of a step")
 	f.DurationVar(&c.StepPerRequest, "step-per-request", c.StepPerRequest, "engine: step time per running request")
@@ -52,6 +70,7 @@
 	f.DurationVar(&c.ColdFor, "cold-for", c.ColdFor, "engine: time after a start in which it is cold")
 	f.IntVar(&c.ColdSlots, "cold-slots", c.ColdSlots, "engine: requests a cold engine can carry")
 	f.StringVar((*string)(&c.ColdMode), "cold-mode", string(c.ColdMode), "engine: above the cold limit, 503 or slow")
+	f.Float64Var(&c.ColdSlowdown, "cold-slowdown", c.ColdSlowdown, "engine: factor of the step time above the cold limit")
 	f.DurationVar(&c.LoadLag, "load-lag", c.LoadLag, "engine: age of what GET /load reports")
 	f.DurationVar(&c.EventLag, "event-lag", c.EventLag, "engine: delay of cache events")
 	f.Float64Var(&c.EventLoss, "event-loss", c.EventLoss, "engine: share of cache events that are lost")
@@ -63,7 +82,7 @@
 // listeners returns the address of each stand-in.
 func (o *options) listeners() ([]string, error) {
 	addrs := strings.Split(o.listen, ",")
-	if o.engines == 1 || len(addrs) > 1 {
+	if o.count == 1 || len(addrs) > 1 {
 		return addrs, nil
 	}
 	host, port, err := net.SplitHostPort(o.listen)
@@ -75,7 +94,7 @@
 		return nil, errors.Wrapf(err, "port of %s", o.listen)
 	}
 	addrs = nil
-	for i := range o.engines {
+	for i := range o.count {
 		p := first + i
 		if first == 0 {
 			p = 0
@@ -111,6 +130,12 @@
 	case "orders":
 		store := orders.NewStore()
 		return func(a string) (standin, error) { return orders.Start(a, store) }, nil
+	case "tools":
+		return func(a string) (standin, error) { return tools.Start(a, o.toolDelay) }, nil
+	case "weights":
+		return func(a string) (standin, error) { return weights.Start(a, o.weightRate, o.weightBytes) }, nil
+	case "hostlist":
+		return func(a string) (standin, error) { return hostlist.Start(a, o.listLag) }, nil
 	}
 	return nil, errors.Errorf("role %q is unknown; use engine, orders, tools, weights or hostlist", o.role)
 }
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -32,7 +32,7 @@
 			e, err := engine.Start("127.0.0.1:0", engine.DefaultConfig())
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(e.Close)
-			e.Faults().Set(faults...)
+			e.Inject(faults...)
 			cfg := load.Defaults()
 			cfg.Entries = []string{e.URL()}
 			cfg.Direct = true
--- a/standin/engine/api.go
+++ b/standin/engine/api.go
@@ -2,13 +2,16 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/figlb/figlb/standin/server"
 )
 
+// sampleInterval is the time between two samples of the load.
+const sampleInterval = 20 * time.Millisecond
+
 // Load is what GET /load reports.
 type Load struct {
 	Running int   `json:"running"`
@@ -19,44 +22,6 @@
 	AtMS    int64 `json:"at_ms"` // when it was measured, Unix milliseconds
 }
 
-// loadHistory keeps samples until they are old enough to be reported.
-type loadHistory struct {
-	mu      sync.Mutex
-	samples []Load
-}
-
-// sampleInterval is the time between two samples of the load.
-const sampleInterval = 20 * time.Millisecond
-
-// report adds a sample and returns the newest one that is at least lag old; the oldest
-// one if there is none.
-func (h *loadHistory) report(now Load, lag time.Duration) Load {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.samples = append(h.samples, now)
-	for len(h.samples) > 1 && h.samples[1].AtMS <= now.AtMS-lag.Milliseconds() {
-		h.samples = h.samples[1:]
-	}
-	return h.samples[0]
-}
-
-func (e *Engine) sample() Load {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	used := e.cache.used
-	for _, j := range e.running {
-		used += j.prompt - j.cached + j.sent
-	}
-	return Load{
-		Running: len(e.running),
-		Waiting: len(e.queue),
-		KVUsed:  used,
-		KVTotal: e.cfg.CacheTokens,
-		Cold:    e.isCold(),
-		AtMS:    time.Now().UnixMilli(),
-	}
-}
-
 // sampleLoad samples the load until the engine is closed.
 func (e *Engine) sampleLoad() {
 	t := time.NewTicker(sampleInterval)
@@ -64,24 +29,46 @@
 	for {
 		select {
 		case <-t.C:
-			e.load.report(e.sample(), e.cfg.LoadLag)
+			e.laggingLoad()
 		case <-e.stop:
 			return
 		}
 	}
 }
 
-func (e *Engine) getLoad(w http.ResponseWriter, r *http.Request) {
-	if e.faults.Take(r.URL.Path, "").Before(w, r) {
-		return
+// laggingLoad takes a sample and returns the newest one that is at least LoadLag old, or
+// the oldest one if there is none.
+func (e *Engine) laggingLoad() Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.currentLoad()
+	e.samples = append(e.samples, now)
+	for len(e.samples) > 1 && e.samples[1].AtMS <= now.AtMS-e.cfg.LoadLag.Milliseconds() {
+		e.samples = e.samples[1:]
 	}
-	server.WriteJSON(w, http.StatusOK, e.load.report(e.sample(), e.cfg.LoadLag))
+	return e.samples[0]
 }
 
-func (e *Engine) getEvents(w http.ResponseWriter, r *http.Request) {
-	if e.faults.Take(r.URL.Path, "").Before(w, r) {
-		return
+func (e *Engine) currentLoad() Load {
+	now := Load{
+		Running: len(e.running),
+		Waiting: len(e.queue),
+		KVUsed:  e.cache.used,
+		KVTotal: e.cfg.CacheTokens,
+		Cold:    e.isCold(),
+		AtMS:    time.Now().UnixMilli(),
+	}
+	for _, j := range e.running {
+		now.KVUsed += j.prompt - j.cached + j.sent
 	}
+	return now
+}
+
+func (e *Engine) getLoad(w http.ResponseWriter, _ *server.Request) {
+	server.WriteJSON(w, http.StatusOK, e.laggingLoad())
+}
+
+func (e *Engine) getEvents(w http.ResponseWriter, r *server.Request) {
 	n, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
 	if err != nil && r.FormValue("after") != "" {
 		server.WriteError(w, http.StatusBadRequest, "after is not a number")
@@ -91,10 +78,7 @@
 	server.WriteJSON(w, http.StatusOK, map[string]any{"events": events, "next": next})
 }
 
-func (e *Engine) deleteSession(w http.ResponseWriter, r *http.Request) {
-	if e.faults.Take(r.URL.Path, "").Before(w, r) {
-		return
-	}
+func (e *Engine) deleteSession(w http.ResponseWriter, r *server.Request) {
 	e.mu.Lock()
 	held := e.cache.free(r.PathValue("id"))
 	e.mu.Unlock()
@@ -111,32 +95,32 @@
 }
 
 // exportKV copies a session's KV cache out; the session stays held.
-func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
-	var req kvBlob
-	if !server.ReadJSON(w, r, &req) {
+func (e *Engine) exportKV(w http.ResponseWriter, r *server.Request) {
+	var blob kvBlob
+	if !r.Decode(w, &blob) {
 		return
 	}
 	e.mu.Lock()
-	links, ok := e.cache.get(req.SessionID)
+	blob.Chain = e.cache.links(blob.SessionID)
 	e.mu.Unlock()
-	if !ok {
+	if blob.Chain == nil {
 		server.WriteError(w, http.StatusNotFound, "nothing is held for the session")
 		return
 	}
-	server.WriteJSON(w, http.StatusOK, kvBlob{SessionID: req.SessionID, Chain: links})
+	server.WriteJSON(w, http.StatusOK, blob)
 }
 
-func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
-	var req kvBlob
-	if !server.ReadJSON(w, r, &req) {
+func (e *Engine) importKV(w http.ResponseWriter, r *server.Request) {
+	var blob kvBlob
+	if !r.Decode(w, &blob) {
 		return
 	}
-	if req.SessionID == "" || len(req.Chain) == 0 {
+	if blob.SessionID == "" || len(blob.Chain) == 0 {
 		server.WriteError(w, http.StatusBadRequest, "body holds no session")
 		return
 	}
 	e.mu.Lock()
-	e.cache.store(req.SessionID, req.Chain)
+	e.cache.store(blob.SessionID, blob.Chain)
 	e.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
 }
@@ -150,26 +134,23 @@
 }
 
 // order carries out an order once per id.
-func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	if e.faults.Take(r.URL.Path, "").Before(w, r) {
-		return
-	}
+func (e *Engine) order(w http.ResponseWriter, r *server.Request) {
 	var o Order
-	if !server.ReadJSON(w, r, &o) {
+	if !r.Decode(w, &o) {
 		return
 	}
 	if o.ID == "" || o.Action == "" {
 		server.WriteError(w, http.StatusBadRequest, "order has no id or action")
 		return
 	}
-	if !e.takeOrder(o) {
+	if !e.carryOut(o) {
 		server.WriteError(w, http.StatusConflict, "fencing number is old")
 		return
 	}
 	server.WriteJSON(w, http.StatusOK, map[string]string{"id": o.ID, "state": "done"})
 }
 
-func (e *Engine) takeOrder(o Order) bool {
+func (e *Engine) carryOut(o Order) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	stale := o.Fencing < e.fencing
@@ -177,10 +158,8 @@
 		return false
 	}
 	e.fencing = max(e.fencing, o.Fencing)
-	for _, done := range e.stats.Orders {
-		if done.ID == o.ID {
-			return true
-		}
+	if slices.ContainsFunc(e.stats.Orders, func(done Order) bool { return done.ID == o.ID }) {
+		return true
 	}
 	if stale {
 		e.stats.StaleOrders++
@@ -189,19 +168,14 @@
 	return true
 }
 
-func (e *Engine) adminCold(w http.ResponseWriter, r *http.Request) {
-	req := struct {
+func (e *Engine) adminCold(w http.ResponseWriter, r *server.Request) {
+	body := struct {
 		ForMS int `json:"for_ms"`
 		Slots int `json:"slots"`
 	}{Slots: e.cfg.ColdSlots}
-	if !server.ReadJSON(w, r, &req) {
+	if !r.Decode(w, &body) {
 		return
 	}
-	e.MakeCold(time.Duration(req.ForMS)*time.Millisecond, req.Slots)
-	server.WriteJSON(w, http.StatusOK, req)
-}
-
-func (e *Engine) adminCrash(w http.ResponseWriter, _ *http.Request) {
+	e.MakeCold(time.Duration(body.ForMS)*time.Millisecond, body.Slots)
 	w.WriteHeader(http.StatusNoContent)
-	go e.Crash()
 }
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -58,14 +58,29 @@
 	return j
 }
 
-// submit queues a job and wakes the loop.
-func (e *Engine) submit(j *job) {
+// submit counts a job, queues it and wakes the loop. It returns false if a cold engine
+// does not take it.
+func (e *Engine) submit(j *job) bool {
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stats.Requests++
+	if j.prefix != "" {
+		e.stats.Continued++
+	}
+	if e.isCold() && len(e.queue)+len(e.running) >= e.coldSlots {
+		e.stats.ColdOverloads++
+		if e.cfg.ColdMode == ColdRefuse {
+			return false
+		}
+	}
 	e.nextJob++
 	j.id = e.nextJob
 	heap.Push(&e.queue, j)
-	e.mu.Unlock()
-	e.wakeUp()
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+	return true
 }
 
 // cancel takes a job out of the engine.
@@ -79,16 +94,8 @@
 	}
 }
 
-func (e *Engine) wakeUp() {
-	select {
-	case e.wake <- struct{}{}:
-	default:
-	}
-}
-
 // run executes steps until the engine is closed.
 func (e *Engine) run() {
-	defer close(e.done)
 	next := time.Now()
 	for {
 		d, busy := e.beginStep()
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -21,12 +21,7 @@
 	links   []chainLink
 }
 
-func (x *kvEntry) tokens() int {
-	if len(x.links) == 0 {
-		return 0
-	}
-	return x.links[len(x.links)-1].Tokens
-}
+func (x *kvEntry) tokens() int { return x.links[len(x.links)-1].Tokens }
 
 func newCache(capacity int, note func(op, session string, tokens int)) *kvCache {
 	return &kvCache{
@@ -41,12 +36,10 @@
 
 // lookup returns the number of prompt tokens that the session's cache covers.
 func (c *kvCache) lookup(session string, links []chainLink) int {
-	el, ok := c.entries[session]
-	if !ok {
-		return 0
+	if el, ok := c.entries[session]; ok {
+		c.order.MoveToFront(el)
 	}
-	c.order.MoveToFront(el)
-	held := el.Value.(*kvEntry).links
+	held := c.links(session)
 	for i := min(len(held), len(links)) - 1; i >= 0; i-- {
 		if held[i].Sum == links[i].Sum {
 			return links[i].Tokens
@@ -113,11 +106,10 @@
 	delete(c.entries, session)
 }
 
-// get returns the links held for a session.
-func (c *kvCache) get(session string) ([]chainLink, bool) {
-	el, ok := c.entries[session]
-	if !ok {
-		return nil, false
+// links returns what is held for a session; nil: nothing.
+func (c *kvCache) links(session string) []chainLink {
+	if el, ok := c.entries[session]; ok {
+		return el.Value.(*kvEntry).links
 	}
-	return el.Value.(*kvEntry).links, true
+	return nil
 }
--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -15,6 +15,9 @@
 	chatPath          = "/v1/chat/completions"
 	coldRetryAfterSec = 1
 	garbageText       = "\x00\xff<html>this is no event stream</html>\n\n"
+	// wrongPartialText is the answer to a partial answer that the engine would not have
+	// given. A model would go on with any text; this makes the mistake visible.
+	wrongPartialText = "<the partial answer is of another conversation>"
 )
 
 type chatRequest struct {
@@ -28,50 +31,35 @@
 	ContinueFinal       bool      `json:"continue_final_message"`
 }
 
-type promptDetails struct {
-	CachedTokens int `json:"cached_tokens"`
-}
-
-type usage struct {
-	PromptTokens     int           `json:"prompt_tokens"`
-	CompletionTokens int           `json:"completion_tokens"`
-	TotalTokens      int           `json:"total_tokens"`
-	Details          promptDetails `json:"prompt_tokens_details"`
+// valid reports whether the request can be run.
+func (req *chatRequest) valid() bool {
+	n := len(req.Messages)
+	if n == 0 || !req.ContinueFinal {
+		return n > 0
+	}
+	return n > 1 && req.Messages[n-1].Role == "assistant"
 }
 
 // chat serves POST /v1/chat/completions.
-func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	fault := e.faults.Take(r.URL.Path, string(body))
-	if fault.Kind == server.FaultCrash {
-		e.Crash()
-		server.Abort()
-	}
-	if fault.Before(w, r) {
-		return
-	}
+func (e *Engine) chat(w http.ResponseWriter, r *server.Request) {
 	var req chatRequest
-	if err := json.Unmarshal(body, &req); err != nil || len(req.Messages) == 0 {
-		server.WriteError(w, http.StatusBadRequest, "body has no messages")
+	if !r.Decode(w, &req) {
 		return
 	}
-	j, problem := newJob(req)
-	if problem != "" {
-		server.WriteError(w, http.StatusBadRequest, problem)
+	if !req.valid() {
+		server.WriteError(w, http.StatusBadRequest, "messages are missing, or there is no assistant message to continue")
 		return
 	}
-	j.crash = e.cfg.CrashMarker != "" && strings.Contains(string(body), e.cfg.CrashMarker)
-	if !e.arrive(req) {
+	j := newJob(req)
+	j.crash = e.cfg.CrashMarker != "" && strings.Contains(string(r.Payload), e.cfg.CrashMarker)
+	if !e.submit(j) {
 		w.Header().Set("Retry-After", strconv.Itoa(coldRetryAfterSec))
 		server.WriteError(w, http.StatusServiceUnavailable, "engine is cold")
 		return
 	}
-	e.submit(j)
 	defer e.cancel(j)
-	a := &answer{w: w, r: r, job: j, model: req.Model, id: "chatcmpl-" + strconv.FormatUint(j.id, 10), fault: fault}
+	model, _ := json.Marshal(req.Model)
+	a := &answer{w: w, r: r, job: j, model: model, id: "chatcmpl-" + strconv.FormatUint(j.id, 10)}
 	if req.Stream {
 		a.stream()
 		return
@@ -79,52 +67,35 @@
 	a.whole()
 }
 
-// arrive counts a request and tells whether a cold engine takes it.
-func (e *Engine) arrive(req chatRequest) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.stats.Requests++
-	if req.ContinueFinal {
-		e.stats.Continued++
-	}
-	if !e.isCold() || len(e.queue)+len(e.running) < e.coldSlots {
-		return true
-	}
-	e.stats.ColdOverloads++
-	return e.cfg.ColdMode != ColdRefuse
-}
-
-// newJob returns the job of a request, or what is wrong with the request.
-func newJob(req chatRequest) (*job, string) {
+// newJob returns the job of a valid request.
+func newJob(req chatRequest) *job {
 	messages, partial := req.Messages, ""
 	if req.ContinueFinal {
-		last := messages[len(messages)-1]
-		if last.Role != "assistant" {
-			return nil, "continue_final_message needs an assistant message at the end"
-		}
-		messages, partial = messages[:len(messages)-1], last.text()
+		last := len(messages) - 1
+		messages, partial = messages[:last], messages[last].text()
 	}
 	links := chain(messages)
-	j := &job{priority: req.Priority, session: req.SessionID, links: links, prefix: partial}
 	tokens, ok := remaining(answerTokens(messages, links), partial)
 	if !ok {
-		// A model would go on with any text; this makes the mistake visible.
-		tokens = []string{"<the partial answer is of another conversation>"}
+		tokens = []string{wrongPartialText}
 	}
-	j.tokens = tokens
-	j.limit = len(tokens)
-	for _, limit := range []int{req.MaxTokens, req.MaxCompletionTokens} {
-		if limit > 0 {
-			j.limit = min(j.limit, limit)
+	limit := len(tokens)
+	for _, n := range []int{req.MaxTokens, req.MaxCompletionTokens} {
+		if n > 0 {
+			limit = min(limit, n)
 		}
 	}
-	if len(links) > 0 {
-		j.prompt = links[len(links)-1].Tokens
+	return &job{
+		priority: req.Priority,
+		session:  req.SessionID,
+		links:    links,
+		prefix:   partial,
+		tokens:   tokens,
+		limit:    limit,
+		prompt:   links[len(links)-1].Tokens + textTokens(partial),
+		history:  historyTokens(messages, links) + textTokens(partial),
+		out:      make(chan string, limit),
 	}
-	j.history = historyTokens(messages, links) + textTokens(partial)
-	j.prompt += textTokens(partial)
-	j.out = make(chan string, len(tokens))
-	return j, ""
 }
 
 // historyTokens returns the tokens up to the last assistant message.
@@ -140,49 +111,36 @@
 // answer sends the tokens of a job to the caller.
 type answer struct {
 	w     http.ResponseWriter
-	r     *http.Request
+	r     *server.Request
 	job   *job
-	model string
+	model []byte // as JSON
 	id    string
-	fault server.Fault
 	sent  int
 }
 
-// next returns the next tokens that are ready, waiting for at least one. ok is false
-// after the last one.
-func (a *answer) next() (text string, ok bool) {
+// next returns the next token, waiting for it. It returns "" after the last one, or where
+// an injected fault cuts the answer.
+func (a *answer) next() string {
 	select {
-	case t, more := <-a.job.out:
-		if !more {
-			return "", false
+	case t, ok := <-a.job.out:
+		if !ok {
+			return ""
 		}
-		text = t
+		if a.sent >= a.r.Fault.AfterTokens && a.midFault() {
+			return ""
+		}
+		a.sent++
+		return t
 	case <-a.r.Context().Done():
 		server.Abort()
+		return ""
 	}
-	a.sent++
-	a.midFault()
-	for a.fault.Kind == "" {
-		select {
-		case t, more := <-a.job.out:
-			if !more {
-				return text, true // the closed channel is seen again by the next call
-			}
-			text += t
-			a.sent++
-		default:
-			return text, true
-		}
-	}
-	return text, true
 }
 
-// midFault applies a fault that acts in mid-answer.
-func (a *answer) midFault() {
-	if a.sent <= a.fault.AfterTokens {
-		return
-	}
-	switch a.fault.Kind {
+// midFault applies a fault that acts in mid-answer. It returns true if the answer is to
+// end early.
+func (a *answer) midFault() bool {
+	switch a.r.Fault.Kind {
 	case server.FaultHalf:
 		server.Abort()
 	case server.FaultHangMid:
@@ -193,42 +151,32 @@
 		a.flush()
 		server.Abort()
 	}
-}
-
-// cut tells whether the answer is to end early.
-func (a *answer) cut() bool {
-	return a.fault.Kind == server.FaultCut && a.sent > a.fault.AfterTokens
+	return a.r.Fault.Kind == server.FaultCut
 }
 
 func (a *answer) flush() { _ = http.NewResponseController(a.w).Flush() }
 
 func (a *answer) stream() {
-	h := a.w.Header()
-	h.Set("Content-Type", "text/event-stream")
-	h.Set("Cache-Control", "no-cache")
+	a.w.Header().Set("Content-Type", "text/event-stream")
 	a.w.WriteHeader(http.StatusOK)
 	a.flush()
 	role := `"role":"assistant",`
-	for {
-		text, ok := a.next()
-		if !ok {
-			break
-		}
-		if a.cut() {
-			return
-		}
-		content, _ := json.Marshal(text)
+	for t := a.next(); t != ""; t = a.next() {
+		content, _ := json.Marshal(t)
 		a.chunk(`{`+role+`"content":`+string(content)+`}`, `null`, "")
 		role = ""
 	}
-	use, _ := json.Marshal(a.usage())
-	a.chunk(`{}`, `"`+a.finish()+`"`, `,"usage":`+string(use))
+	if a.r.Fault.Kind == server.FaultCut {
+		return
+	}
+	usage, _ := json.Marshal(a.usage())
+	a.chunk(`{}`, `"`+a.finish()+`"`, `,"usage":`+string(usage))
 	_, _ = io.WriteString(a.w, "data: [DONE]\n\n")
 	a.flush()
 }
 
 func (a *answer) chunk(delta, finish, rest string) {
-	const form = `data: {"id":%q,"object":"chat.completion.chunk","model":%q,` +
+	const form = `data: {"id":%q,"object":"chat.completion.chunk","model":%s,` +
 		`"choices":[{"index":0,"delta":%s,"finish_reason":%s}]%s}` + "\n\n"
 	_, _ = fmt.Fprintf(a.w, form, a.id, a.model, delta, finish, rest)
 	a.flush()
@@ -236,18 +184,11 @@
 
 func (a *answer) whole() {
 	var b strings.Builder
-	for {
-		text, ok := a.next()
-		if !ok {
-			break
-		}
-		if a.cut() {
-			break
-		}
-		b.WriteString(text)
+	for t := a.next(); t != ""; t = a.next() {
+		b.WriteString(t)
 	}
 	server.WriteJSON(a.w, http.StatusOK, map[string]any{
-		"id": a.id, "object": "chat.completion", "model": a.model,
+		"id": a.id, "object": "chat.completion", "model": json.RawMessage(a.model),
 		"choices": []any{map[string]any{"index": 0, "finish_reason": a.finish(), "message": Text("assistant", b.String())}},
 		"usage":   a.usage(),
 	})
@@ -260,12 +201,11 @@
 	return "stop"
 }
 
-func (a *answer) usage() usage {
-	j := a.job
-	return usage{
-		PromptTokens:     j.prompt,
-		CompletionTokens: j.sent,
-		TotalTokens:      j.prompt + j.sent,
-		Details:          promptDetails{CachedTokens: j.cached},
+func (a *answer) usage() map[string]any {
+	return map[string]any{
+		"prompt_tokens":         a.job.prompt,
+		"completion_tokens":     a.sent,
+		"total_tokens":          a.job.prompt + a.sent,
+		"prompt_tokens_details": map[string]int{"cached_tokens": a.job.cached},
 	}
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -1,7 +1,8 @@
 package engine
 
 import (
-	"net/http"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,21 +28,17 @@
 	StaleOrders int      `json:"stale_orders"`
 	Orders      []Order  `json:"orders"`
 	Sessions    []string `json:"sessions"` // that hold KV cache
-	KVUsed      int      `json:"kv_used"`
 	server.Traffic
 }
 
 // Engine is a model engine that listens on one address.
 type Engine struct {
+	*server.Server
 	cfg    Config
-	srv    *server.Server
-	rec    *server.Recorder
-	faults *server.Faults
 	events *eventLog
 	wake   chan struct{}
 	stop   chan struct{}
-	done   chan struct{}
-	load   loadHistory
+	done   sync.WaitGroup
 
 	mu        sync.Mutex
 	nextJob   uint64
@@ -49,48 +46,51 @@
 	running   []*job
 	cache     *kvCache
 	stats     Stats
+	samples   []Load // oldest first; the first one is reported
 	coldUntil time.Time
 	coldSlots int
-	down      bool
 	fencing   uint64
 }
 
 // Start starts an engine that listens on addr, ip:port.
 func Start(addr string, cfg Config) (*Engine, error) {
 	e := &Engine{
+		Server: server.New(chatPath),
 		cfg:    cfg,
-		rec:    server.NewRecorder(),
-		faults: server.NewFaults(chatPath),
 		events: newEventLog(cfg.EventLag, cfg.EventLoss),
 		wake:   make(chan struct{}, 1),
 		stop:   make(chan struct{}),
-		done:   make(chan struct{}),
 	}
+	e.Downtime = cfg.CrashDowntime
+	e.OnCrash = e.crashed
+	e.OnRestart = e.reset
+	e.routes()
 	e.reset()
-	srv, err := server.Start(addr, e.rec.Wrap(e.routes()))
-	if err != nil {
+	if err := e.Listen(addr); err != nil {
 		return nil, err
 	}
-	e.srv = srv
-	go e.run()
-	go e.sampleLoad()
+	e.done.Go(e.run)
+	e.done.Go(e.sampleLoad)
 	return e, nil
 }
 
-// Addr returns the engine's address, ip:port.
-func (e *Engine) Addr() string { return e.srv.Addr() }
-
-// URL returns the engine's base URL.
-func (e *Engine) URL() string { return e.srv.URL() }
-
-// Faults returns the injected faults.
-func (e *Engine) Faults() *server.Faults { return e.faults }
+func (e *Engine) routes() {
+	e.Handle("POST "+chatPath, e.chat)
+	e.Handle("GET /load", e.getLoad)
+	e.Handle("GET /v1/cache/events", e.getEvents)
+	e.Handle("DELETE /v1/sessions/{id}", e.deleteSession)
+	e.Handle("POST /v1/kv/export", e.exportKV)
+	e.Handle("POST /v1/kv/import", e.importKV)
+	e.Handle("POST /v1/orders", e.order)
+	e.Handle("POST /admin/cold", e.adminCold)
+	server.HandleStats(e.Server, e.Stats)
+}
 
 // Close stops the engine.
 func (e *Engine) Close() {
-	e.srv.Close()
+	e.Server.Close()
 	close(e.stop)
-	<-e.done
+	e.done.Wait()
 }
 
 // reset puts the engine into the state after a start: empty, and cold for a while.
@@ -102,21 +102,14 @@
 	e.events.restart()
 	e.coldSlots = e.cfg.ColdSlots
 	e.coldUntil = time.Now().Add(e.cfg.ColdFor)
-	e.down = false
+	e.samples = []Load{e.currentLoad()}
 }
 
-// Crash drops all connections, forgets all state and comes back after the downtime.
-func (e *Engine) Crash() {
+func (e *Engine) crashed() {
 	e.mu.Lock()
-	if e.down {
-		e.mu.Unlock()
-		return
-	}
-	e.down = true
+	defer e.mu.Unlock()
 	e.stats.Crashes++
 	e.forgetJobs()
-	e.mu.Unlock()
-	e.srv.Crash(e.cfg.CrashDowntime, e.reset)
 }
 
 func (e *Engine) forgetJobs() {
@@ -141,31 +134,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.stats
-	s.Orders = append([]Order{}, e.stats.Orders...)
-	s.Sessions = []string{}
-	for id := range e.cache.entries {
-		s.Sessions = append(s.Sessions, id)
-	}
-	s.KVUsed = e.cache.used
-	s.Traffic = e.rec.Traffic()
+	s.Orders = slices.Clone(e.stats.Orders)
+	s.Sessions = slices.Sorted(maps.Keys(e.cache.entries))
+	s.Traffic = e.Traffic()
 	return s
 }
-
-func (e *Engine) routes() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+chatPath, e.chat)
-	mux.HandleFunc("GET /load", e.getLoad)
-	mux.HandleFunc("GET /v1/cache/events", e.getEvents)
-	mux.HandleFunc("DELETE /v1/sessions/{id}", e.deleteSession)
-	mux.HandleFunc("POST /v1/kv/export", e.exportKV)
-	mux.HandleFunc("POST /v1/kv/import", e.importKV)
-	mux.HandleFunc("POST /v1/orders", e.order)
-	mux.HandleFunc("POST /admin/cold", e.adminCold)
-	mux.HandleFunc("POST /admin/crash", e.adminCrash)
-	mux.HandleFunc("POST /admin/faults", e.faults.Handle)
-	mux.HandleFunc("POST /admin/watch", e.rec.HandleWatch)
-	mux.HandleFunc("GET /admin/stats", func(w http.ResponseWriter, _ *http.Request) {
-		server.WriteJSON(w, http.StatusOK, e.Stats())
-	})
-	return mux
-}
--- a/standin/orders/orders.go
+++ b/standin/orders/orders.go
@@ -4,7 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -25,15 +25,7 @@
 	ByRef map[string]int `json:"by_ref"` // by the field "ref" of the order
 }
 
-// Stats are the counters of an order service.
-type Stats struct {
-	Executions
-	Catalogue int `json:"catalogue"`
-	Public    int `json:"public"`
-	server.Traffic
-}
-
-// Store holds the executed orders. Several replicas of the service share it.
+// Store holds the executed orders. The replicas of the service share it.
 type Store struct {
 	mu      sync.Mutex
 	exec    Executions
@@ -70,25 +62,11 @@
 	return res
 }
 
-func (s *Store) status(key string) (result, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	res, ok := s.results[key]
-	return res, ok
-}
-
 // Executions returns a copy of the counts.
 func (s *Store) Executions() Executions {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := Executions{Total: s.exec.Total, ByKey: map[string]int{}, ByRef: map[string]int{}}
-	for k, n := range s.exec.ByKey {
-		out.ByKey[k] = n
-	}
-	for k, n := range s.exec.ByRef {
-		out.ByRef[k] = n
-	}
-	return out
+	return Executions{Total: s.exec.Total, ByKey: maps.Clone(s.exec.ByKey), ByRef: maps.Clone(s.exec.ByRef)}
 }
 
 func digest(b []byte) string {
@@ -98,78 +76,35 @@
 
 // Service is a replica of the order service that listens on one address.
 type Service struct {
-	store  *Store
-	srv    *server.Server
-	rec    *server.Recorder
-	faults *server.Faults
-
-	mu                sync.Mutex
-	catalogue, public int
+	*server.Server
+	store *Store
 }
 
 // Start starts a replica on addr, ip:port.
 func Start(addr string, store *Store) (*Service, error) {
-	s := &Service{store: store, rec: server.NewRecorder(), faults: server.NewFaults(ordersPath)}
-	srv, err := server.Start(addr, s.rec.Wrap(s.routes()))
-	s.srv = srv
-	return s, err
-}
-
-// Addr returns the address, ip:port.
-func (s *Service) Addr() string { return s.srv.Addr() }
-
-// URL returns the base URL.
-func (s *Service) URL() string { return s.srv.URL() }
-
-// Faults returns the injected faults.
-func (s *Service) Faults() *server.Faults { return s.faults }
-
-// Close stops the replica.
-func (s *Service) Close() { s.srv.Close() }
-
-// Stats returns the counters.
-func (s *Service) Stats() Stats {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return Stats{Executions: s.store.Executions(), Catalogue: s.catalogue, Public: s.public, Traffic: s.rec.Traffic()}
-}
-
-func (s *Service) routes() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+ordersPath, s.order)
-	mux.HandleFunc("GET "+ordersPath+"/status/{key}", s.status)
-	mux.HandleFunc("GET /catalogue/", s.read(&s.catalogue))
-	mux.HandleFunc("GET /public/", s.read(&s.public))
-	mux.HandleFunc("POST /admin/faults", s.faults.Handle)
-	mux.HandleFunc("POST /admin/watch", s.rec.HandleWatch)
-	mux.HandleFunc("GET /admin/executions", func(w http.ResponseWriter, _ *http.Request) {
-		server.WriteJSON(w, http.StatusOK, s.store.Executions())
+	s := &Service{Server: server.New(ordersPath), store: store}
+	s.Handle("POST "+ordersPath, s.order)
+	s.Handle("GET "+ordersPath+"/status/{key}", s.status)
+	s.Handle("GET /catalogue/", read)
+	s.Handle("GET /public/", read)
+	s.Handle("GET /admin/executions", func(w http.ResponseWriter, _ *server.Request) {
+		server.WriteJSON(w, http.StatusOK, store.Executions())
 	})
-	mux.HandleFunc("GET /admin/stats", func(w http.ResponseWriter, _ *http.Request) {
-		server.WriteJSON(w, http.StatusOK, s.Stats())
-	})
-	return mux
+	server.HandleStats(s.Server, s.Traffic)
+	return s, s.Listen(addr)
 }
 
-func (s *Service) order(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	fault := s.faults.Take(r.URL.Path, string(body))
-	if fault.Before(w, r) {
-		return
-	}
-	res := s.store.execute(r.Header.Get(KeyHeader), body)
-	fault.After(r)
+func (s *Service) order(w http.ResponseWriter, r *server.Request) {
+	res := s.store.execute(r.Header.Get(KeyHeader), r.Payload)
+	r.AfterRun()
 	server.WriteJSON(w, res.Status, res.Body)
 }
 
-func (s *Service) status(w http.ResponseWriter, r *http.Request) {
-	if s.faults.Take(r.URL.Path, "").Before(w, r) {
-		return
-	}
-	res, ok := s.store.status(r.PathValue("key"))
+// status tells whether the order with a call's key was executed, and with what result.
+func (s *Service) status(w http.ResponseWriter, r *server.Request) {
+	s.store.mu.Lock()
+	res, ok := s.store.results[r.PathValue("key")]
+	s.store.mu.Unlock()
 	if !ok {
 		server.WriteJSON(w, http.StatusNotFound, map[string]string{"state": "not_executed"})
 		return
@@ -178,19 +113,7 @@
 }
 
 // read serves repeatable lookups; the answer is a function of the path.
-func (s *Service) read(count *int) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		if s.faults.Take(r.URL.Path, "").Before(w, r) {
-			return
-		}
-		s.mu.Lock()
-		*count++
-		s.mu.Unlock()
-		server.WriteJSON(w, http.StatusOK, Item(strings.TrimSuffix(r.URL.Path, "/")))
-	}
-}
-
-// Item returns the lookup answer for a path.
-func Item(path string) map[string]string {
-	return map[string]string{"path": path, "item": digest([]byte(path))}
+func read(w http.ResponseWriter, r *server.Request) {
+	path := strings.TrimSuffix(r.URL.Path, "/")
+	server.WriteJSON(w, http.StatusOK, map[string]string{"path": path, "item": digest([]byte(path))})
 }
--- a/standin/server/fault.go
+++ b/standin/server/fault.go
@@ -1,8 +1,11 @@
 package server
 
 import (
+	"cmp"
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,7 +25,7 @@
 	FaultHang      FaultKind = "hang"       // never answers
 	FaultCrash     FaultKind = "crash"      // drops all connections and goes away
 	FaultHalf      FaultKind = "half"       // drops the connection in mid-answer
-	FaultCut       FaultKind = "cut"        // ends a stream early, as if it were whole
+	FaultCut       FaultKind = "cut"        // ends an answer early, as if it were whole
 	FaultGarbage   FaultKind = "garbage"    // sends bytes that are no answer
 	FaultHangMid   FaultKind = "hang_mid"   // stops sending in mid-answer
 	FaultHangAfter FaultKind = "hang_after" // executes and never answers
@@ -46,7 +49,7 @@
 	Location    string  `json:"location,omitempty"` // of a redirect
 }
 
-// Faults is the set of faults of a stand-in.
+// Faults is the set of injected faults of a stand-in.
 type Faults struct {
 	main string
 	mu   sync.Mutex
@@ -54,64 +57,68 @@
 	rng  *rand.Rand
 }
 
-// NewFaults returns an empty set; main is the path prefix of faults that name none.
-func NewFaults(main string) *Faults {
+func newFaults(main string) Faults {
 	const seed = 1 // faults with a probability hit the same requests in every run
-	return &Faults{main: main, rng: rand.New(rand.NewPCG(seed, seed))}
+	return Faults{main: main, rng: rand.New(rand.NewPCG(seed, seed))}
 }
 
-// Set replaces the faults.
-func (f *Faults) Set(list ...Fault) {
+// Inject replaces the faults.
+func (f *Faults) Inject(list ...Fault) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.list = append([]Fault(nil), list...)
+	f.list = slices.Clone(list)
 }
 
-// Take returns the first fault that hits a request and counts it down.
-func (f *Faults) Take(path, body string) Fault {
+// setFaults serves POST /admin/faults: {"faults":[...]} replaces the faults.
+func (f *Faults) setFaults(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Faults []Fault `json:"faults"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		WriteError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	f.Inject(body.Faults...)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// take returns the first fault that hits a request and counts it down.
+func (f *Faults) take(path, body string) Fault {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for i := range f.list {
-		if !f.hits(&f.list[i], path, body) {
+	for i, x := range f.list {
+		if !f.hits(x, path, body) {
 			continue
 		}
-		hit := f.list[i]
-		if hit.Count == 1 {
-			f.list = append(f.list[:i], f.list[i+1:]...)
-		} else if hit.Count > 1 {
+		if x.Count > 0 {
 			f.list[i].Count--
 		}
-		return hit
+		if x.Count == 1 {
+			f.list = slices.Delete(f.list, i, i+1)
+		}
+		return x
 	}
 	return Fault{}
 }
 
-func (f *Faults) hits(x *Fault, path, body string) bool {
-	prefix := x.Path
-	if prefix == "" {
-		prefix = f.main
-	}
-	if !strings.HasPrefix(path, prefix) || !strings.Contains(body, x.Match) {
+func (f *Faults) hits(x Fault, path, body string) bool {
+	if !strings.HasPrefix(path, cmp.Or(x.Path, f.main)) || !strings.Contains(body, x.Match) {
 		return false
 	}
 	return x.Probability == 0 || f.rng.Float64() < x.Probability
 }
 
-// Before applies the kinds of faults that act before anything is run. It returns true if
-// the request has been dealt with.
-func (x Fault) Before(w http.ResponseWriter, r *http.Request) bool {
-	switch x.Kind {
+// beforeRun applies the kinds of faults that act before anything is run. It returns true
+// if the request has been dealt with.
+func (r *Request) beforeRun(w http.ResponseWriter) bool {
+	switch x := r.Fault; x.Kind {
 	case FaultDelay:
-		Wait(r, time.Duration(x.DelayMS)*time.Millisecond)
+		r.Wait(time.Duration(x.DelayMS) * time.Millisecond)
 		return r.Context().Err() != nil
 	case FaultError:
-		status := x.Status
-		if status == 0 {
-			status = http.StatusInternalServerError
-		}
-		WriteError(w, status, "injected error")
+		WriteError(w, cmp.Or(x.Status, http.StatusInternalServerError), "injected error")
 	case FaultRedirect:
-		http.Redirect(w, r, x.Location, http.StatusTemporaryRedirect)
+		http.Redirect(w, r.Request, x.Location, http.StatusTemporaryRedirect)
 	case FaultDrop:
 		Abort()
 	case FaultHang:
@@ -122,9 +129,9 @@
 	return true
 }
 
-// After applies the kinds of faults that act after an execution.
-func (x Fault) After(r *http.Request) {
-	switch x.Kind {
+// AfterRun applies the kinds of faults that act after an execution.
+func (r *Request) AfterRun() {
+	switch r.Fault.Kind {
 	case FaultHangAfter:
 		<-r.Context().Done()
 		Abort()
@@ -134,7 +141,7 @@
 }
 
 // Wait returns after d, or when the caller has gone.
-func Wait(r *http.Request, d time.Duration) {
+func (r *Request) Wait(d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -142,15 +149,3 @@
 	case <-r.Context().Done():
 	}
 }
-
-// Handle serves POST /admin/faults: {"faults":[...]} replaces the faults.
-func (f *Faults) Handle(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		Faults []Fault `json:"faults"`
-	}
-	if !ReadJSON(w, r, &body) {
-		return
-	}
-	f.Set(body.Faults...)
-	WriteJSON(w, http.StatusOK, body)
-}
--- a/standin/server/recorder.go
+++ b/standin/server/recorder.go
@@ -1,9 +1,11 @@
 package server
 
 import (
-	"bytes"
-	"io"
+	"encoding/json"
+	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -32,28 +34,28 @@
 	t     Traffic
 }
 
-// NewRecorder returns an empty recorder.
-func NewRecorder() *Recorder {
-	return &Recorder{start: time.Now(), t: Traffic{Headers: map[string]int{}, WatchHits: map[string]int{}}}
+func newRecorder() Recorder {
+	return Recorder{start: time.Now(), t: Traffic{Headers: map[string]int{}, WatchHits: map[string]int{}}}
 }
 
 // Watch replaces the watched texts.
 func (rec *Recorder) Watch(texts ...string) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	rec.watch = append([]string(nil), texts...)
+	rec.watch = texts
 }
 
-// HandleWatch serves POST /admin/watch: {"texts":[...]} replaces the watched texts.
-func (rec *Recorder) HandleWatch(w http.ResponseWriter, r *http.Request) {
+// setWatch serves POST /admin/watch: {"texts":[...]} replaces the watched texts.
+func (rec *Recorder) setWatch(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Texts []string `json:"texts"`
 	}
-	if !ReadJSON(w, r, &body) {
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		WriteError(w, http.StatusBadRequest, err.Error())
 		return
 	}
 	rec.Watch(body.Texts...)
-	WriteJSON(w, http.StatusOK, body)
+	w.WriteHeader(http.StatusNoContent)
 }
 
 // Traffic returns a copy of the counts.
@@ -61,68 +63,31 @@
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	t := rec.t
-	t.PerSecond = append([]int{}, rec.t.PerSecond...)
-	t.Headers = copyCounts(rec.t.Headers)
-	t.WatchHits = copyCounts(rec.t.WatchHits)
+	t.PerSecond = slices.Clone(rec.t.PerSecond)
+	t.Headers = maps.Clone(rec.t.Headers)
+	t.WatchHits = maps.Clone(rec.t.WatchHits)
 	return t
 }
 
-func copyCounts(m map[string]int) map[string]int {
-	out := make(map[string]int, len(m))
-	for k, v := range m {
-		out[k] = v
-	}
-	return out
-}
-
-// Wrap returns a handler that counts requests before h serves them.
-func (rec *Recorder) Wrap(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.URL.Path, "/admin/") {
-			h.ServeHTTP(w, r)
-			return
-		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			return
-		}
-		r.Body = io.NopCloser(bytes.NewReader(body))
-		rec.count(r, string(body))
-		h.ServeHTTP(w, r)
-	})
-}
-
-func (rec *Recorder) count(r *http.Request, body string) {
+func (rec *Recorder) count(r *Request) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	rec.t.Received++
-	second := int(time.Since(rec.start) / time.Second)
-	for len(rec.t.PerSecond) <= second && second < maxSeconds {
+	second := min(int(time.Since(rec.start)/time.Second), maxSeconds)
+	for len(rec.t.PerSecond) <= second {
 		rec.t.PerSecond = append(rec.t.PerSecond, 0)
 	}
-	if second < maxSeconds {
-		rec.t.PerSecond[second]++
-	}
+	rec.t.PerSecond[second]++
 	for name := range r.Header {
 		rec.t.Headers[name]++
 	}
+	if len(rec.watch) == 0 {
+		return
+	}
+	all := fmt.Sprint(r.URL, r.Header, string(r.Payload))
 	for _, text := range rec.watch {
-		if contains(r, body, text) {
+		if strings.Contains(all, text) {
 			rec.t.WatchHits[text]++
 		}
 	}
 }
-
-func contains(r *http.Request, body, text string) bool {
-	if strings.Contains(r.URL.String(), text) || strings.Contains(body, text) {
-		return true
-	}
-	for _, values := range r.Header {
-		for _, v := range values {
-			if strings.Contains(v, text) {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -2,41 +2,113 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
-// rebindInterval is the time between attempts to listen again after a crash; the port
-// may be held for a moment by an outgoing connection of another process.
-const rebindInterval = 20 * time.Millisecond
+const (
+	// rebindInterval is the time between attempts to listen again after a crash; the port
+	// may be held for a moment by an outgoing connection of another process.
+	rebindInterval  = 20 * time.Millisecond
+	defaultDowntime = time.Second
+)
+
+// Request is a request to a stand-in.
+type Request struct {
+	*http.Request
+	Payload []byte
+	Fault   Fault // that hits the request; its kind is empty if there is none
+}
 
-// Server serves HTTP on one address.
+// Decode reads the JSON body; on failure it answers 400 and returns false.
+func (r *Request) Decode(w http.ResponseWriter, out any) bool {
+	if err := json.Unmarshal(r.Payload, out); err != nil {
+		WriteError(w, http.StatusBadRequest, "body is not valid JSON: "+err.Error())
+		return false
+	}
+	return true
+}
+
+// Server is a stand-in that serves HTTP on one address.
 type Server struct {
-	addr    string
-	handler http.Handler
+	Faults
+	Recorder
+	// Downtime is how long the stand-in is gone after a crash. OnCrash and OnRestart, if
+	// set, are called at the beginning and before the end of it.
+	Downtime           time.Duration
+	OnCrash, OnRestart func()
+
+	mux *http.ServeMux
 
 	mu     sync.Mutex
-	srv    *http.Server
+	addr   string
+	srv    *http.Server // nil while it is gone
 	closed bool
 }
 
-// Start listens on addr, ip:port, and serves h.
-func Start(addr string, h http.Handler) (*Server, error) {
+// New returns a stand-in that does not listen yet. main is the path prefix of injected
+// faults that name no path.
+func New(main string) *Server {
+	s := &Server{Faults: newFaults(main), Recorder: newRecorder(), Downtime: defaultDowntime, mux: http.NewServeMux()}
+	s.mux.HandleFunc("POST /admin/faults", s.setFaults)
+	s.mux.HandleFunc("POST /admin/watch", s.setWatch)
+	s.mux.HandleFunc("POST /admin/crash", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+		go s.Crash()
+	})
+	s.Handle("/", func(w http.ResponseWriter, r *Request) { WriteError(w, http.StatusNotFound, "no such route") })
+	return s
+}
+
+// Handle registers a route. Its requests are counted and hit by injected faults, except
+// those below /admin/.
+func (s *Server) Handle(pattern string, h func(http.ResponseWriter, *Request)) {
+	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		req := &Request{Request: r, Payload: body}
+		if !strings.HasPrefix(r.URL.Path, "/admin/") {
+			s.count(req)
+			req.Fault = s.take(r.URL.Path, string(body))
+		}
+		if req.Fault.Kind == FaultCrash {
+			s.Crash()
+			Abort()
+		}
+		if !req.beforeRun(w) {
+			h(w, req)
+		}
+	})
+}
+
+// HandleStats registers GET /admin/stats, which returns what stats returns.
+func HandleStats[T any](s *Server, stats func() T) {
+	s.Handle("GET /admin/stats", func(w http.ResponseWriter, _ *Request) { WriteJSON(w, http.StatusOK, stats()) })
+}
+
+// Listen starts to serve on addr, ip:port.
+func (s *Server) Listen(addr string) error {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", addr)
+		return errors.Wrapf(err, "listen on %s", addr)
 	}
-	s := &Server{addr: ln.Addr().String(), handler: h}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addr = ln.Addr().String()
 	s.serve(ln)
-	return s, nil
+	return nil
 }
 
 func (s *Server) serve(ln net.Listener) {
-	s.srv = &http.Server{Handler: s.handler}
+	s.srv = &http.Server{Handler: s.mux}
 	go func(srv *http.Server) { _ = srv.Serve(ln) }(s.srv)
 }
 
@@ -46,23 +118,22 @@
 // URL returns the base URL.
 func (s *Server) URL() string { return "http://" + s.addr }
 
-// Crash drops all connections and refuses new ones for the given time. Before it listens
-// again it calls restart.
-func (s *Server) Crash(downtime time.Duration, restart func()) {
+// Crash drops all connections and refuses new ones during the downtime.
+func (s *Server) Crash() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || s.srv == nil {
+	if s.srv == nil || s.closed {
 		return
 	}
+	if s.OnCrash != nil {
+		s.OnCrash()
+	}
 	_ = s.srv.Close()
 	s.srv = nil
-	time.AfterFunc(downtime, func() {
-		restart()
-		s.rebind()
-	})
+	time.AfterFunc(s.Downtime, s.restart)
 }
 
-func (s *Server) rebind() {
+func (s *Server) restart() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -70,9 +141,12 @@
 	}
 	ln, err := net.Listen("tcp", s.addr)
 	if err != nil {
-		time.AfterFunc(rebindInterval, s.rebind)
+		time.AfterFunc(rebindInterval, s.restart)
 		return
 	}
+	if s.OnRestart != nil {
+		s.OnRestart()
+	}
 	s.serve(ln)
 }
 
@@ -98,14 +172,5 @@
 	WriteJSON(w, status, map[string]any{"error": map[string]any{"message": message, "code": status}})
 }
 
-// ReadJSON decodes a request body; on failure it answers 400 and returns false.
-func ReadJSON(w http.ResponseWriter, r *http.Request, out any) bool {
-	if err := json.NewDecoder(r.Body).Decode(out); err != nil {
-		WriteError(w, http.StatusBadRequest, "body is not valid JSON: "+err.Error())
-		return false
-	}
-	return true
-}
-
 // Abort drops the connection of the request being served.
 func Abort() { panic(http.ErrAbortHandler) }
