--- a/cmd/figlb-entry/main.go
+++ b/cmd/figlb-entry/main.go
@@ -43,7 +43,8 @@
 	defer closeState()
 	registry := metrics.NewRegistry()
 	e := entry.New(entry.Options{
-		Settings: f.Entry, Incarnation: incarnation, TLS: f.TLS, State: state, Scheduler: sched, Log: log, Metrics: registry,
+		Settings: f.Entry, TLS: f.TLS, Incarnation: incarnation,
+		State: state, Scheduler: sched, Log: log, Metrics: registry,
 	})
 	admin, err := telemetry.StartAdmin(f.Entry.Admin, registry, e.Ready)
 	if err != nil {
