Make the cost of a turn independent of the history's length

Prefix hashes, the prompt's digest and the body to the engine were computed from all messages of the history at each turn. A history now carries a running summary of its messages, and the body is copied and not encoded again.

--- a/entry/activekeys.go
+++ b/entry/activekeys.go
@@ -37,6 +37,16 @@
 	}
 }
 
+// trackKey is track for the current configuration: a key that was revoked between the
+// look-up and now ends the request, too.
+func (e *Entry) trackKey(ctx context.Context, keyID string) (_ context.Context, done func()) {
+	ctx, done = e.keys.track(ctx, keyID)
+	if s := e.config.snapshot(); keyID != "" && s.revoked(keyID) {
+		e.keys.cancelRevoked(s.revoked)
+	}
+	return ctx, done
+}
+
 func (a *activeKeys) remove(keyID string, id uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/entry/call.go
+++ b/entry/call.go
@@ -54,7 +54,7 @@
 	} else {
 		q.e.background(func() { c.run(context.WithoutCancel(r.Context())) })
 	}
-	ctx, untrack := q.e.keys.track(r.Context(), q.id.KeyID)
+	ctx, untrack := q.e.trackKey(r.Context(), q.id.KeyID)
 	defer untrack()
 	select {
 	case <-c.done:
@@ -216,7 +216,7 @@
 	defer c.q.e.calls.end(c.tableKey(), c)
 	stop := c.q.e.cancelOnStop(&ctx)
 	defer stop()
-	wait, untrack := c.q.e.keys.track(ctx, c.q.id.KeyID)
+	wait, untrack := c.q.e.trackKey(ctx, c.q.id.KeyID)
 	defer untrack()
 	for n := 1; ; n++ {
 		res, f, fail := c.q.attempt(wait, ctx, n, c.key)
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -35,7 +35,7 @@
 	} else {
 		t.start(r.Context())
 	}
-	ctx, done := e.keys.track(r.Context(), t.id.KeyID)
+	ctx, done := e.trackKey(r.Context(), t.id.KeyID)
 	defer done()
 	defer t.follow()()
 	e.serveTurn(ctx, w, r, t, t.req.stream, t.req.includeUsage)
--- a/entry/chatrequest.go
+++ b/entry/chatrequest.go
@@ -131,30 +131,28 @@
 
 // digest identifies the request of a turn: a resend has the same one.
 func (q *chatRequest) digest() string {
-	return q.digestWith(nil)
+	return q.digestAfter(&history{})
 }
 
-// digestWith identifies the whole prompt: history and the new messages.
-func (q *chatRequest) digestWith(history [][]byte) string {
+// digestAfter identifies the whole prompt: the history and the new messages.
+func (q *chatRequest) digestAfter(h *history) string {
 	params, err := json.Marshal(q.fields) // map keys are sorted
 	if err != nil {                       // raw messages were parsed before
 		panic(err)
 	}
-	h := sha256.New()
+	d := sha256.New()
 	writePart := func(b []byte) {
-		h.Write(b)
-		h.Write([]byte{0}) // JSON never contains it
+		d.Write(b)
+		d.Write([]byte{0}) // JSON never contains it
 	}
 	writePart([]byte(q.model))
 	writePart(params)
 	writePart(strconv.AppendInt(nil, q.maxTokens, 10))
-	for _, m := range history {
-		writePart(m)
-	}
+	d.Write(h.chain.sum[:])
 	for _, m := range q.messages {
 		writePart(m)
 	}
-	return hex.EncodeToString(h.Sum(nil))
+	return hex.EncodeToString(d.Sum(nil))
 }
 
 // role returns the role of a message.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -83,8 +82,8 @@
 	// ctx ends when the drain deadline has passed or the entry is closed.
 	ctx      context.Context
 	stop     context.CancelCauseFunc
-	work     sync.WaitGroup // turns and calls
-	loops    sync.WaitGroup
+	work     workGroup // turns and calls
+	loops    workGroup
 	draining atomic.Bool
 }
 
@@ -131,8 +130,8 @@
 // Close ends all work at once.
 func (e *Entry) Close() {
 	e.stop(drainDeadlinePassed())
-	e.work.Wait()
-	e.loops.Wait()
+	e.work.Wait(context.Background())
+	e.loops.Wait(context.Background())
 	e.client.Close()
 }
 
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"maps"
@@ -61,8 +62,8 @@
 	if len(g.prompt) == 0 {
 		g.prompt = t.req.messages
 	}
-	g.prefix = prefixesOf(t.svc.Model, g.hist.messages, g.prompt, b.Program.ContextTokens)
-	g.digest = t.req.digestWith(g.hist.messages)
+	g.prefix = g.hist.chain.addAll(g.prompt).prefixes(t.svc.Model, g.hist.chain.bytes, b.Program.ContextTokens)
+	g.digest = t.req.digestAfter(g.hist)
 	return g
 }
 
@@ -221,19 +222,23 @@
 	if !t.implicit {
 		out["session_id"] = t.program
 	}
-	messages := make([]json.RawMessage, 0, len(g.hist.messages)+len(g.prompt)+1)
-	for _, m := range g.hist.messages {
-		messages = append(messages, m)
-	}
-	for _, m := range g.prompt {
-		messages = append(messages, m)
-	}
+	messages := append(g.hist.messages[:len(g.hist.messages):len(g.hist.messages)], g.prompt...)
 	if !g.answer.empty() {
 		messages = append(messages, g.answer.partialMessage())
 		out["continue_final_message"] = true
 	}
-	out["messages"] = messages
-	return mustJSON(out)
+	return withMessages(mustJSON(out), messages)
+}
+
+// withMessages adds the messages to a JSON object that is not empty. They are valid
+// JSON already and may be long, so they are copied and not encoded again.
+func withMessages(object []byte, messages [][]byte) []byte {
+	var buf bytes.Buffer
+	buf.Write(object[:len(object)-1])
+	buf.WriteString(`,"messages":[`)
+	buf.Write(bytes.Join(messages, []byte{','}))
+	buf.WriteString("]}")
+	return buf.Bytes()
 }
 
 // forward adds a chunk to the answer and publishes it.
--- a/entry/history.go
+++ b/entry/history.go
@@ -17,6 +17,8 @@
 	messages [][]byte
 	// ends[i] is the number of messages after turn i+1; nil if unknown.
 	ends []int
+	// chain summarizes the messages.
+	chain promptChain
 }
 
 // through returns the messages of the first n turns, or false if the history does not
@@ -35,7 +37,7 @@
 
 // extend returns the history after the turns up to n, whose messages are more.
 func (h *history) extend(n int, more [][]byte) *history {
-	out := &history{turns: n}
+	out := &history{turns: n, chain: h.chain.addAll(more)}
 	out.messages = append(out.messages, h.messages...)
 	out.messages = append(out.messages, more...)
 	if n == h.turns+1 && len(h.ends) == h.turns {
@@ -44,13 +46,10 @@
 	return out
 }
 
-func (h *history) bytes() int {
-	n := 0
-	for _, m := range h.messages {
-		n += len(m)
-	}
-	return n
-}
+// historyOverhead is the memory of a cached history besides its text, in bytes.
+const historyOverhead = 1 << 10
+
+func (h *history) bytes() int { return int(h.chain.bytes) + historyOverhead }
 
 // historyCache keeps the histories of recently active programs, so that begin replies
 // need not carry them again. The state stays the owner: a turn begins with the number
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -113,7 +113,7 @@
 
 // serveRepeatable runs a call that may be repeated. It ends when its caller leaves.
 func (q *plainRequest) serveRepeatable(w http.ResponseWriter, r *http.Request) {
-	ctx, done := q.e.keys.track(r.Context(), q.id.KeyID)
+	ctx, done := q.e.trackKey(r.Context(), q.id.KeyID)
 	defer done()
 	stop := q.e.cancelOnStop(&ctx)
 	defer stop()
--- a/entry/programs.go
+++ b/entry/programs.go
@@ -116,7 +116,7 @@
 		reply.Error(w, r, fail)
 		return
 	}
-	ctx, done := e.keys.track(r.Context(), id.KeyID)
+	ctx, done := e.trackKey(r.Context(), id.KeyID)
 	defer done()
 	stream := wantsEvents(r)
 	if t := e.turns.get(historyKey(id.Org, q.Program)); t != nil && stream && t.number.Load() == int64(q.Turn) {
--- a/entry/server.go
+++ b/entry/server.go
@@ -221,7 +221,7 @@
 	if err := s.http.Shutdown(ctx); err != nil {
 		e.log.Info("requests left at the drain deadline", "error", err.Error())
 	}
-	waitFor(ctx, e.work.Wait)
+	e.work.Wait(ctx)
 	s.Close()
 }
 
@@ -235,16 +235,3 @@
 	_ = s.http.Close()
 	s.e.Close()
 }
-
-// waitFor returns when wait has returned or ctx has ended.
-func waitFor(ctx context.Context, wait func()) {
-	done := make(chan struct{})
-	go func() {
-		wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
--- a/entry/turn.go
+++ b/entry/turn.go
@@ -59,7 +59,7 @@
 func (t *turn) start(reqCtx context.Context) {
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(reqCtx))
 	t.cancel = cancel
-	ctx, untrack := t.e.keys.track(ctx, t.id.KeyID)
+	ctx, untrack := t.e.trackKey(ctx, t.id.KeyID)
 	limit := time.AfterFunc(t.e.timing.TurnLimit, func() { cancel(turnTooLong()) })
 	stopped := context.AfterFunc(t.e.ctx, func() { cancel(context.Cause(t.e.ctx)) })
 	t.e.background(func() {
@@ -178,9 +178,23 @@
 	}
 	t.number.Store(int64(b.Turn.N))
 	t.e.turns.begun(t.key(), t)
+	if t.known.turns >= b.Turn.N {
+		return nil, t.dropAhead(ctx, b)
+	}
 	return b, nil
 }
 
+// dropAhead ends a turn that begins behind the cached history: the state was restored
+// from an older snapshot, so what is cached must not be used any more.
+func (t *turn) dropAhead(ctx context.Context, b *structs.BeginTurnReply) error {
+	t.e.histories.drop(t.key())
+	t.e.turns.end(t.key(), t)
+	if err := t.endOrphan(ctx, &b.Turn); err != nil {
+		return err
+	}
+	return errs.New(errs.Unavailable, "send the request again", "the program's history has changed").WithRetryAfter(time.Second)
+}
+
 func (t *turn) beginCommand() structs.BeginTurn {
 	cmd := structs.BeginTurn{
 		Program:     t.program,
