Test the replicated state under live load; show incarnations of voters

Cause: after a wipe the old incarnation still stood in the list of voters, so neither an operator nor a test could see when the repair was done. Ruled out: judging the repair by the number of voters.

--- a/command/member.go
+++ b/command/member.go
@@ -32,7 +32,7 @@
 	for _, m := range list {
 		for _, g := range m.Groups {
 			rows = append(rows, []string{m.ID, m.Zone, itoa(g.Group), itoa(g.Term), g.Leader, itoa(g.Applied),
-				strings.Join(g.Voters, ","), strings.Join(g.Learners, ",")})
+				strings.Join(markOld(g, g.Voters, members), ","), strings.Join(g.Learners, ",")})
 		}
 	}
 	for addr, err := range failed {
@@ -41,6 +41,22 @@
 	return in.print(list, []string{"MEMBER", "ZONE", "GROUP", "TERM", "LEADER", "APPLIED", "VOTERS", "LEARNERS"}, rows)
 }
 
+// markOld marks voters that run under another incarnation: they are not repaired yet.
+func markOld(g structs.GroupStatus, ids []string, members map[string]structs.MemberStatus) []string {
+	running := map[string]string{}
+	for _, m := range members {
+		running[m.ID] = m.Incarnation
+	}
+	var out []string
+	for _, id := range ids {
+		if inc := running[id]; inc != "" && inc != g.Incarnations[id] {
+			id += "(old)"
+		}
+		out = append(out, id)
+	}
+	return out
+}
+
 func memberRemoveVerb() *verb {
 	return &verb{
 		name:     "member remove",
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -309,9 +309,11 @@
 	if inc == nil {
 		return ""
 	}
-	return strconv.FormatUint(inc.self.Incarnation, 16)
+	return formatIncarnation(inc.self.Incarnation)
 }
 
+func formatIncarnation(n uint64) string { return strconv.FormatUint(n, 16) }
+
 // Status returns the state of each group as this member sees it, in group order.
 func (r *Replica) Status() []structs.GroupStatus {
 	inc := r.incarnation()
@@ -329,7 +331,9 @@
 func (g *group) describe(id uint32) structs.GroupStatus {
 	st := g.status.Load()
 	s := structs.GroupStatus{Group: id, Term: st.Term, Leader: st.Leader.ID, Applied: g.applier.appliedIndex()}
+	s.Incarnations = map[string]string{}
 	for _, m := range st.Config.Members {
+		s.Incarnations[m.Peer.ID] = formatIncarnation(m.Peer.Incarnation)
 		if m.Voter {
 			s.Voters = append(s.Voters, m.Peer.ID)
 			continue
--- a/structs/status.go
+++ b/structs/status.go
@@ -17,6 +17,9 @@
 	Applied  uint64   `msgpack:"a" json:"applied"`
 	Voters   []string `msgpack:"v" json:"voters"`
 	Learners []string `msgpack:"e" json:"learners"`
+	// Incarnations gives the incarnation of each voter and learner. A voter that runs
+	// under another incarnation is not repaired yet and counts for nothing.
+	Incarnations map[string]string `msgpack:"n" json:"incarnations"`
 }
 
 // TargetStatus describes a target as its scheduler sees it.
--- /dev/null
+++ b/test/e2e/load_test.go
@@ -0,0 +1,178 @@
+package e2e_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/figlb/figlb/internal/testsite"
+)
+
+// turnDeadline bounds a turn under any single fault: a dead entry is known after 4 s.
+const turnDeadline = 20 * time.Second
+
+// liveLoad keeps programs running while a test breaks things. Each program checks each
+// answer, which depends on the whole history.
+type liveLoad struct {
+	stop    chan struct{}
+	wg      sync.WaitGroup
+	turns   atomic.Int64
+	slowest atomic.Int64 // nanoseconds
+	mu      sync.Mutex
+	errs    []error
+}
+
+// startLoad runs n programs one after the other in each of n workers.
+func startLoad(c *caller, addrs []string, workers int) *liveLoad {
+	l := &liveLoad{stop: make(chan struct{})}
+	for w := range workers {
+		l.wg.Go(func() { l.work(c, pick(addrs, int64(w)), w) })
+	}
+	return l
+}
+
+const turnsPerProgram = 5
+
+func (l *liveLoad) work(c *caller, entries func() string, worker int) {
+	for i := 0; ; i++ {
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		if err := l.program(c, entries, fmt.Sprintf("worker %d program %d", worker, i)); err != nil {
+			l.mu.Lock()
+			l.errs = append(l.errs, err)
+			l.mu.Unlock()
+		}
+	}
+}
+
+func (l *liveLoad) program(c *caller, entries func() string, name string) error {
+	var id string
+	err := testsite.Within(turnDeadline, func() (err error) {
+		id, err = c.openProgram(entries(), map[string]any{"service": "chat"})
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	v := &conversation{program: id}
+	for t := range turnsPerProgram {
+		start := time.Now()
+		if err := v.runTurn(c, entries, fmt.Sprintf("%s turn %d answer_tokens=12", name, t+1), start.Add(turnDeadline)); err != nil {
+			return err
+		}
+		l.turns.Add(1)
+		l.slow(time.Since(start))
+	}
+	return nil
+}
+
+func (l *liveLoad) slow(d time.Duration) {
+	for {
+		old := l.slowest.Load()
+		if int64(d) <= old || l.slowest.CompareAndSwap(old, int64(d)) {
+			return
+		}
+	}
+}
+
+// reset begins a new measurement of the slowest turn.
+func (l *liveLoad) reset() { l.slowest.Store(0) }
+
+// waitTurns waits for n more answered turns.
+func (l *liveLoad) waitTurns(n int64, timeout time.Duration) {
+	GinkgoHelper()
+	goal := l.turns.Load() + n
+	Eventually(l.turns.Load, timeout, 20*time.Millisecond).Should(BeNumerically(">=", goal), "turns are answered")
+}
+
+// finish stops the load and returns the errors.
+func (l *liveLoad) finish() []error {
+	close(l.stop)
+	l.wg.Wait()
+	return l.errs
+}
+
+// leaderOf returns the index of the member that leads a group.
+func leaderOf(s *testsite.Site, group int) int {
+	GinkgoHelper()
+	var leader string
+	Expect(testsite.Within(10*time.Second, func() error {
+		members, err := memberList(s)
+		if err != nil {
+			return err
+		}
+		leader = ""
+		term := uint64(0)
+		for _, m := range members {
+			g := m.Groups[group]
+			if g.Leader == m.ID && g.Term > term {
+				leader, term = m.ID, g.Term
+			}
+		}
+		if leader == "" {
+			return fmt.Errorf("group %d has no leader", group)
+		}
+		return nil
+	})).To(Succeed())
+	var n int
+	_, err := fmt.Sscanf(leader, "state-%d", &n)
+	Expect(err).NotTo(HaveOccurred())
+	return n - 1
+}
+
+type memberView struct {
+	ID          string
+	Incarnation string
+	Groups      []struct {
+		Leader       string
+		Term         uint64
+		Voters       []string
+		Learners     []string
+		Incarnations map[string]string
+	}
+}
+
+func memberList(s *testsite.Site) ([]memberView, error) {
+	out, err := s.Ctl("member", "list", "-output", "json", "-timeout", "2s")
+	if err != nil {
+		return nil, err
+	}
+	var members []memberView
+	return members, json.Unmarshal([]byte(out), &members)
+}
+
+// waitVoters waits until each group has exactly n voters and no learner, and n
+// members answer, each a voter under its running incarnation.
+func waitVoters(s *testsite.Site, n int, timeout time.Duration) {
+	GinkgoHelper()
+	Expect(testsite.Within(timeout, func() error {
+		members, err := memberList(s)
+		if err != nil {
+			return err
+		}
+		if len(members) != n {
+			return fmt.Errorf("%d members answer, want %d", len(members), n)
+		}
+		for _, m := range members {
+			for g, st := range m.Groups {
+				for _, other := range members {
+					if st.Incarnations[other.ID] != other.Incarnation {
+						return fmt.Errorf("%s sees group %d with an old incarnation of %s", m.ID, g, other.ID)
+					}
+				}
+				if len(st.Voters) != n || len(st.Learners) != 0 {
+					return fmt.Errorf("%s sees group %d with voters %v and learners %v", m.ID, g, st.Voters, st.Learners)
+				}
+			}
+		}
+		return nil
+	})).To(Succeed())
+}
