--- a/cmd/figlb-load/main.go
+++ b/cmd/figlb-load/main.go
@@ -9,13 +9,11 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"strconv"
 	"strings"
 	"syscall"
 
 	"github.com/pkg/errors"
 
-	"github.com/figlb/figlb/inifile"
 	"github.com/figlb/figlb/load"
 )
 
@@ -47,11 +45,13 @@
 	seed := f.Int64("seed", 0, "seed of the arrivals and programs")
 	duration := f.Duration("duration", 0, "time in which programs arrive")
 	jsonFile := f.String("json", "", "write the result to this file")
-	var orgs orgFlags
-	f.Var(&orgs, "org", "organisation as name:key:PROGRAMS/s[:RATE/s:BURST]; may be repeated")
+	compare := f.Bool("compare", false, "print two result files, given as arguments, side by side")
 	if err := f.Parse(args); err != nil {
 		return false, err
 	}
+	if *compare {
+		return true, compareFiles(f.Args())
+	}
 	cfg := load.Defaults()
 	if *file != "" {
 		var err error
@@ -63,7 +63,6 @@
 	setList(&cfg.Entries, *direct)
 	setList(&cfg.Executions, *executions)
 	cfg.Direct = cfg.Direct || *direct != ""
-	cfg.Orgs = append(cfg.Orgs, orgs...)
 	if *seed != 0 {
 		cfg.Seed = *seed
 	}
@@ -73,6 +72,23 @@
 	return drive(cfg, *jsonFile)
 }
 
+func compareFiles(files []string) error {
+	const two = 2
+	if len(files) != two {
+		return errors.Errorf("-compare got %d files; give two", len(files))
+	}
+	a, err := load.ReadResult(files[0])
+	if err != nil {
+		return err
+	}
+	b, err := load.ReadResult(files[1])
+	if err != nil {
+		return err
+	}
+	load.Compare(os.Stdout, files[0], files[1], a, b)
+	return nil
+}
+
 func setList(out *[]string, text string) {
 	if text != "" {
 		*out = strings.Split(text, ",")
@@ -92,41 +108,3 @@
 	}
 	return res.OK(), err
 }
-
-// orgFlags collects -org flags.
-type orgFlags []load.Org
-
-// String implements flag.Value.
-func (o *orgFlags) String() string { return "" }
-
-// Set implements flag.Value.
-func (o *orgFlags) Set(text string) error {
-	const shortForm, longForm = 3, 5
-	parts := strings.Split(text, ":")
-	if len(parts) != shortForm && len(parts) != longForm {
-		return errors.Errorf("%q is not name:key:PROGRAMS/s[:RATE/s:BURST]", text)
-	}
-	org := load.Org{Name: parts[0], Key: parts[1]}
-	var err error
-	if org.Programs, err = rate(parts[2]); err != nil {
-		return err
-	}
-	if len(parts) == longForm {
-		if org.Rate, err = rate(parts[3]); err != nil {
-			return err
-		}
-		if org.Burst, err = strconv.Atoi(parts[4]); err != nil {
-			return errors.Wrap(err, "burst")
-		}
-	}
-	*o = append(*o, org)
-	return nil
-}
-
-func rate(text string) (inifile.Rate, error) {
-	n, err := strconv.ParseFloat(strings.TrimSuffix(text, "/s"), 64)
-	if err != nil || n <= 0 {
-		return 0, errors.Errorf("%q is not a positive rate; write for example 20/s", text)
-	}
-	return inifile.Rate(n), nil
-}
--- a/load/client.go
+++ b/load/client.go
@@ -67,7 +67,6 @@
 	body   []byte // of an answer that is no stream
 	text   string // of a chat answer, also of a partial one
 	finish string
-	tokens int
 	first  time.Duration // since the attempt was sent
 	gaps   []time.Duration
 }
@@ -167,9 +166,6 @@
 		} `json:"message"`
 		FinishReason string `json:"finish_reason"`
 	} `json:"choices"`
-	Usage *struct {
-		CompletionTokens int `json:"completion_tokens"`
-	} `json:"usage"`
 }
 
 // readStream reads an answer up to [DONE].
@@ -227,9 +223,6 @@
 	if json.Unmarshal(data, &c) != nil {
 		return 0
 	}
-	if c.Usage != nil {
-		r.tokens = c.Usage.CompletionTokens
-	}
 	n := 0
 	for _, choice := range c.Choices {
 		if choice.FinishReason != "" {
--- a/load/config.go
+++ b/load/config.go
@@ -18,6 +18,8 @@
 	Duration time.Duration `ini:"duration,min=10ms"`
 	// Patience bounds how long a caller resends one request.
 	Patience time.Duration `ini:"patience,min=0s"`
+	// Timeout bounds one attempt, so that an entry that hangs does not stop the run.
+	Timeout time.Duration `ini:"timeout,min=10ms"`
 	// Executions lists base URLs of order stand-ins that do not share a store.
 	Executions []string `ini:"executions"`
 	Orgs       []Org
@@ -70,7 +72,7 @@
 
 // Defaults returns a configuration without entries, organisations and kinds.
 func Defaults() Config {
-	return Config{Seed: 1, Duration: 10 * time.Second, Patience: 20 * time.Second}
+	return Config{Seed: 1, Duration: 10 * time.Second, Patience: 20 * time.Second, Timeout: 2 * time.Minute}
 }
 
 // DefaultKind returns a small interactive program.
--- a/load/program.go
+++ b/load/program.go
@@ -159,7 +159,7 @@
 		return false
 	}
 	p.history = append(p.history, engine.Text("assistant", r.text))
-	p.d.rec.answer(p.org.Name, p.kind.Class, r)
+	p.d.rec.answer(p.org.Name, p.kind, r)
 	return true
 }
 
@@ -185,17 +185,20 @@
 		p.d.rec.offered(p.org.Name)
 	}
 	for {
-		within := c.counted && p.d.rec.within(p.org.Name)
+		var cost spend
+		if c.counted {
+			cost = p.d.rec.sending(p.org.Name)
+		}
 		sent := time.Since(start)
 		r := p.attempt(ctx, c)
 		if r.fail == nil {
 			if c.counted {
-				p.d.rec.admitted(p.org.Name)
+				p.d.rec.admitted(p.org.Name, cost)
 			}
 			r.first += sent
 			return r
 		}
-		p.d.rec.failed(p.org.Name, r.fail, within)
+		p.d.rec.failed(p.org.Name, r.fail, cost)
 		if c.each != nil {
 			c.each(r.fail)
 		}
@@ -223,6 +226,8 @@
 		base = p.d.balancer.pick()
 		header["Authorization"] = "Bearer " + p.org.Key
 	}
+	ctx, cancel := context.WithTimeout(ctx, p.d.cfg.Timeout)
+	defer cancel()
 	r := send(ctx, c.method, base+c.path, header, c.body)
 	if c.expected == "" {
 		return r
--- a/load/recorder.go
+++ b/load/recorder.go
@@ -96,18 +96,21 @@
 }
 
 // answer records the answer of a turn.
-func (rec *recorder) answer(org, class string, r *reply) {
+func (rec *recorder) answer(org string, kind Kind, r *reply) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	c := rec.classes[class]
-	record(c.ttft, r.first)
+	c := rec.classes[kind.Class]
+	if kind.Stream {
+		record(c.ttft, r.first)
+	}
 	for _, g := range r.gaps {
 		record(c.gap, g)
 	}
-	rec.orgs[org].row.Tokens += r.tokens
+	tokens := len(r.text) / bytesPerToken
+	rec.orgs[org].row.Tokens += tokens
 	s := rec.second()
 	s.Answers++
-	s.Tokens += r.tokens
+	s.Tokens += tokens
 }
 
 // second returns the row of the current second.
@@ -125,9 +128,14 @@
 	rec.orgs[org].row.Offered++
 }
 
-// within reports whether a request sent now is within the organisation's rate, and takes
-// it from the reference bucket.
-func (rec *recorder) within(org string) bool {
+// spend is what a request took from the reference bucket when it was sent.
+type spend struct {
+	taken  bool
+	within bool // by the margin that makes a refusal wrongful
+}
+
+// sending takes a request from the organisation's reference bucket, if it has one left.
+func (rec *recorder) sending(org string) spend {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	o := rec.orgs[org]
@@ -135,21 +143,26 @@
 	o.tokens = min(o.burst, o.tokens+o.rate*now.Sub(o.filled).Seconds())
 	o.filled = now
 	if o.rate == 0 || o.tokens < 1 {
-		return false
+		return spend{}
 	}
-	ok := o.tokens >= 1+o.rate*rateSlack.Seconds()
+	s := spend{taken: true, within: o.tokens >= 1+o.rate*rateSlack.Seconds()}
 	o.tokens--
-	return ok
+	return s
 }
 
-func (rec *recorder) admitted(org string) {
+// admitted records a request that got its answer.
+func (rec *recorder) admitted(org string, s spend) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	rec.orgs[org].row.Admitted++
+	o := rec.orgs[org]
+	o.row.Admitted++
+	if !s.taken {
+		o.tokens--
+	}
 }
 
-// failed records an attempt that got no answer.
-func (rec *recorder) failed(org string, f *failure, within bool) {
+// failed records an attempt that got no answer. A refused one costs no rate.
+func (rec *recorder) failed(org string, f *failure, s spend) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	rec.res.Errors[f.Code]++
@@ -157,10 +170,13 @@
 	if !f.refused() {
 		return
 	}
-	row := &rec.orgs[org].row
-	row.Refused++
-	if within {
-		row.RefusedWithinRate++
+	o := rec.orgs[org]
+	o.row.Refused++
+	if s.within {
+		o.row.RefusedWithinRate++
+	}
+	if s.taken {
+		o.tokens++
 	}
 }
 
@@ -191,7 +207,9 @@
 	defer rec.mu.Unlock()
 	for ref, s := range states {
 		rec.res.Orders[string(s)]++
-		rec.res.Orders["executed"] += executed[ref]
+		if executed != nil {
+			rec.res.Orders["executed"] += executed[ref]
+		}
 	}
 }
 
--- a/load/result.go
+++ b/load/result.go
@@ -33,8 +33,8 @@
 	Programs int       `json:"programs"`
 	Failed   int       `json:"failed"`
 	Latency  Quantiles `json:"latency_ms"` // of whole programs
-	TTFT     Quantiles `json:"ttft_ms"`
-	Gap      Quantiles `json:"gap_ms"` // between events with tokens
+	TTFT     Quantiles `json:"ttft_ms"`    // of streamed answers, since the first attempt
+	Gap      Quantiles `json:"gap_ms"`     // between events with tokens
 }
 
 // OrgRow describes the service an organisation got.
--- a/load/table.go
+++ b/load/table.go
@@ -3,19 +3,13 @@
 import (
 	"fmt"
 	"io"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 	"text/tabwriter"
 )
 
-func sortedKeys[V any](m map[string]V) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Strings(out)
-	return out
-}
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
 func newTable(w io.Writer) *tabwriter.Writer {
 	const padding = 2
@@ -58,15 +52,10 @@
 
 // counters returns the rows of the result that are counts.
 func (r *Result) counters() [][2]string {
-	answers, tokens := 0, 0
-	for _, s := range r.Seconds {
-		answers += s.Answers
-		tokens += s.Tokens
-	}
 	return [][2]string{
 		{"elapsed (s)", fmt.Sprintf("%.1f", r.ElapsedS)},
-		{"answers/s", fmt.Sprintf("%.1f", float64(answers)/r.ElapsedS)},
-		{"tokens/s", fmt.Sprintf("%.1f", float64(tokens)/r.ElapsedS)},
+		{"answers/s", fmt.Sprintf("%.1f", r.perSecond(func(s Second) int { return s.Answers }))},
+		{"tokens/s", fmt.Sprintf("%.1f", r.perSecond(func(s Second) int { return s.Tokens }))},
 		{"errors", counts(r.Errors)},
 		{"gave up", counts(r.GaveUp)},
 		{"orders", counts(r.Orders)},
--- a/standin/contract_test.go
+++ b/standin/contract_test.go
@@ -65,8 +65,8 @@
 			Expect(got).To(Equal(status))
 			Expect(store.Executions().ByKey["k1"]).To(Equal(executions))
 			Expect(store.Executions().ByRef["r1"]).To(Equal(executions))
-			state, _ := do("GET", s.URL()+"/orders/status/k1", "", "")
-			Expect(state == http.StatusOK).To(Equal(executions > 0))
+			known, result := do("GET", s.URL()+"/orders/status/k1", "", "")
+			Expect(known == http.StatusOK && strings.Contains(result, `"ref":"r1"`)).To(Equal(executions > 0))
 		},
 		Entry("sound", server.Fault{}, 201, 1),
 		Entry("late", server.Fault{Kind: server.FaultDelay, DelayMS: 20, Path: "/orders"}, 201, 1),
--- a/standin/orders/orders.go
+++ b/standin/orders/orders.go
@@ -29,24 +29,18 @@
 type Store struct {
 	mu      sync.Mutex
 	exec    Executions
-	results map[string]result
-}
-
-type result struct {
-	State  string          `json:"state"` // "executed"
-	Status int             `json:"status"`
-	Body   json.RawMessage `json:"body"`
+	results map[string]json.RawMessage // replies by Figlb-Call-Key
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
 		exec:    Executions{ByKey: map[string]int{}, ByRef: map[string]int{}},
-		results: map[string]result{},
+		results: map[string]json.RawMessage{},
 	}
 }
 
-func (s *Store) execute(key string, body []byte) result {
+func (s *Store) execute(key string, body []byte) json.RawMessage {
 	var order struct {
 		Ref string `json:"ref"`
 	}
@@ -57,9 +51,8 @@
 	s.exec.ByKey[key]++
 	s.exec.ByRef[order.Ref]++
 	reply, _ := json.Marshal(map[string]any{"order": s.exec.Total, "ref": order.Ref, "digest": digest(body)})
-	res := result{State: "executed", Status: http.StatusCreated, Body: reply}
-	s.results[key] = res
-	return res
+	s.results[key] = reply
+	return reply
 }
 
 // Executions returns a copy of the counts.
@@ -95,21 +88,21 @@
 }
 
 func (s *Service) order(w http.ResponseWriter, r *server.Request) {
-	res := s.store.execute(r.Header.Get(KeyHeader), r.Payload)
+	reply := s.store.execute(r.Header.Get(KeyHeader), r.Payload)
 	r.AfterRun()
-	server.WriteJSON(w, res.Status, res.Body)
+	server.WriteJSON(w, http.StatusCreated, reply)
 }
 
-// status tells whether the order with a call's key was executed, and with what result.
+// status returns the result of the order with a call's key, or 404 if it was not executed.
 func (s *Service) status(w http.ResponseWriter, r *server.Request) {
 	s.store.mu.Lock()
-	res, ok := s.store.results[r.PathValue("key")]
+	reply, ok := s.store.results[r.PathValue("key")]
 	s.store.mu.Unlock()
 	if !ok {
 		server.WriteJSON(w, http.StatusNotFound, map[string]string{"state": "not_executed"})
 		return
 	}
-	server.WriteJSON(w, http.StatusOK, res)
+	server.WriteJSON(w, http.StatusOK, reply)
 }
 
 // read serves repeatable lookups; the answer is a function of the path.
