sched: correct load reports, probes and fairness; add table tests

A load report counts as foreign load only what exceeds the most own slots since its time, so that a clock that is behind does not halve a target. Failures of requests sent before a target went down do not lengthen the probe delay. An organisation's account catches up with virtual time when its queue was empty, also while requests of it run.

--- a/dispatch/assign.go
+++ b/dispatch/assign.go
@@ -10,7 +10,7 @@
 )
 
 // assign waits in the queue for a slot. It fails with errs.NotLeader, errs.Overloaded,
-// errs.NoTarget, errs.TargetFailed (no retry budget) or ctx's error.
+// errs.NoTarget, errs.TargetFailed (no retry budget) or, when ctx ends, errs.Unavailable.
 func (s *shard) assign(ctx context.Context, req *structs.AssignRequest) (*structs.Assignment, error) {
 	w, err := s.join(req)
 	if err != nil {
@@ -73,7 +73,7 @@
 	w.calls--
 	if err := ctx.Err(); err != nil {
 		s.abandon(w)
-		return nil, err
+		return nil, errs.New(errs.Unavailable, "retry with more time left", "no slot of pool %s: %v", s.name, err)
 	}
 	if w.err != nil {
 		return nil, w.err
@@ -105,7 +105,8 @@
 	s.pump(now)
 }
 
-// drop frees a slot without an outcome.
+// drop frees a slot without an outcome. A later report that names the slot adopts it
+// again.
 func (s *shard) drop(now time.Duration, id string) {
 	slot := s.pool.Slot(id)
 	if slot == nil {
@@ -113,7 +114,6 @@
 	}
 	s.pool.Drop(now, slot)
 	s.forget(id, s.slots[id])
-	s.released[id] = now
 }
 
 // release gives a slot back. Releasing a slot that is not in use has no effect.
--- a/sched/cost.go
+++ b/sched/cost.go
@@ -21,7 +21,8 @@
 	// are charged more because a decode step serves one token of a request at a time.
 	decodeWeight = 4
 	// plainCost is the cost of a request to a plain service, which has no tokens.
-	plainCost = 1
+	plainCost  = 1
+	slowTarget = 1.25
 	// minSamples is the number of observations after which estimates may judge a target.
 	minSamples = 20
 )
@@ -38,11 +39,13 @@
 	e.value += w * (x - e.value)
 }
 
-func (e *ewma) or(prior float64) float64 {
-	if e.n == 0 {
-		return prior
+// slowFactor returns the target's time per token relative to the pool's. Differences
+// below slowTarget are noise, and following them would send all work to one target.
+func (t *Target) slowFactor() float64 {
+	if t.speed.n < minSamples || t.speed.value < slowTarget {
+		return 1
 	}
-	return e.value
+	return t.speed.value
 }
 
 // CostModel estimates times from what the pool's targets have shown.
--- a/sched/fair.go
+++ b/sched/fair.go
@@ -188,7 +188,7 @@
 	output := time.Duration(v.Cost.output(r.Service, r.MaxTokens))
 	first := v.Cost.firstToken(computed + t.pendingPrefill(v.Now))
 	decode := output * v.Cost.perToken(inUse+1)
-	own := float64(first) + float64(decode)*t.speed.or(1)
+	own := float64(first) + float64(decode)*t.slowFactor()
 	slowdown := v.Cost.prefill(computed) + output*v.Cost.perTokenSlope()
 	return time.Duration(own + externality*float64(inUse)*float64(slowdown))
 }
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -218,12 +218,12 @@
 		}
 		p.view.Cache.answered(t, s, rel.Usage)
 	case structs.OutcomeError:
-		t.onError(now)
+		t.onError(now, s.AssignedAt)
 	case structs.OutcomeCrash:
-		t.onBroken(now)
+		t.onBroken(now, s.AssignedAt)
 		p.view.Cache.clear(t)
 	case structs.OutcomeRefused:
-		t.onBroken(now)
+		t.onBroken(now, s.AssignedAt)
 	}
 }
 
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -93,8 +93,8 @@
 	r.seq = q.seq
 	r.due = dueTime(r)
 	o := q.org(r.Org)
-	if o.idle() {
-		// An organisation cannot save up service from the time it sent nothing.
+	if o.queued() == 0 {
+		// An organisation cannot save up service from the time it had nothing to send.
 		o.served = max(o.served, q.virtual)
 	}
 	o.ranks[shedRank(r)]++
--- /dev/null
+++ b/sched/suite_test.go
@@ -0,0 +1,72 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/figlb/figlb/structs"
+)
+
+func TestSched(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "sched")
+}
+
+const start = time.Hour
+
+// testPool is a pool with a clock and numbered slots.
+type testPool struct {
+	*Pool
+	now time.Duration
+	seq int
+}
+
+// newTestPool returns a pool of n targets at their cold-start limit.
+func newTestPool(policy Policy, n, slots, cold int) *testPool {
+	p := &testPool{Pool: NewPool(Options{}, policy, rand.New(rand.NewPCG(1, 2))), now: start}
+	p.SetTargets(p.now, specs(n, slots, cold))
+	return p
+}
+
+func specs(n, slots, cold int) []TargetSpec {
+	var out []TargetSpec
+	for i := range n {
+		out = append(out, TargetSpec{
+			Name: fmt.Sprintf("t%d", i), Zone: fmt.Sprintf("z%d", i%2), Slots: slots, ColdSlots: cold,
+		})
+	}
+	return out
+}
+
+func (p *testPool) enqueue(r structs.AssignRequest) *Request {
+	p.seq++
+	if r.ID == "" {
+		r.ID = fmt.Sprintf("r%d", p.seq)
+	}
+	q := &Request{AssignRequest: r}
+	p.Enqueue(p.now, q)
+	return q
+}
+
+// next assigns one request and returns its slot, or nil.
+func (p *testPool) next() *Slot {
+	p.seq++
+	s, _, _ := p.Next(p.now, fmt.Sprintf("s%d", p.seq))
+	return s
+}
+
+// finish releases a slot with the times that the cost model expects.
+func (p *testPool) finish(s *Slot, o structs.Outcome) {
+	ttft := priorFirst + time.Duration(s.Prompt)*priorPrefill
+	p.Release(p.now, s, &structs.ReleaseSlot{
+		Outcome: o, TTFT: ttft, Duration: ttft + 19*priorToken,
+		Usage: structs.Usage{PromptTokens: s.Prompt, CompletionTokens: 20},
+	})
+}
+
+func (p *testPool) target(i int) *Target { return p.byName[fmt.Sprintf("t%d", i)] }
--- a/sched/target.go
+++ b/sched/target.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"time"
 )
 
@@ -57,13 +58,14 @@
 	Requests int64
 
 	slots  map[*Slot]struct{}
-	recent []span // slots that ended within reportTTL
+	recent []span // slots that ended within reportTTL, the latest last
 	parked int    // requests that wait for this target
 
 	limit     int
 	good      int // good answers since the last change of the limit
 	failures  int // consecutive ones
 	down      bool
+	downAt    time.Duration
 	probeAt   time.Duration
 	delay     time.Duration
 	coldSince time.Duration // time of the last sign of a cold start
@@ -185,27 +187,30 @@
 }
 
 // onError accounts for an error answer of a target that is alive.
-func (t *Target) onError(now time.Duration) {
+func (t *Target) onError(now, assignedAt time.Duration) {
 	t.good = 0
 	t.limit = max(t.limit/2, 1)
-	t.onFailure(now)
+	t.onFailure(now, assignedAt)
 }
 
 // onBroken accounts for a lost connection or a refusal: the target may have restarted.
-func (t *Target) onBroken(now time.Duration) {
+func (t *Target) onBroken(now, assignedAt time.Duration) {
 	t.setCold(now)
-	t.onFailure(now)
+	t.onFailure(now, assignedAt)
 }
 
-func (t *Target) onFailure(now time.Duration) {
+func (t *Target) onFailure(now, assignedAt time.Duration) {
 	t.failures++
-	if t.failures < downAfter {
+	switch {
+	case t.failures < downAfter:
 		return
-	}
-	if !t.down {
+	case !t.down:
 		t.down = true
+		t.downAt = now
 		t.delay = minProbeDelay
-	} else {
+	case assignedAt <= t.downAt:
+		return // assigned before the target was down: not a probe
+	default:
 		t.delay = min(2*t.delay, maxProbeDelay)
 	}
 	t.probeAt = now + t.delay
@@ -222,7 +227,7 @@
 	}
 	t.report, t.reported = r, true
 	t.prune(now)
-	t.external = max(0, r.Running+r.Waiting-t.ownAt(r.At))
+	t.external = max(0, r.Running+r.Waiting-t.mostOwn(r.At))
 	if t.assumedCold && t.reportedWarm() {
 		// The previous scheduler had grown the limit at least to the slots in use.
 		t.limit = max(t.limit, min(t.maxSlots(), len(t.slots)))
@@ -231,16 +236,31 @@
 	return t.endedOrphans(r)
 }
 
-// ownAt returns the number of own slots that were in use at a time.
-func (t *Target) ownAt(at time.Duration) int {
-	n := 0
+// mostOwn returns the largest number of own slots that were in use at once since a time.
+// Only what exceeds it is surely not of this account, whatever the report's true age: a
+// target's clock may be behind.
+func (t *Target) mostOwn(since time.Duration) int {
+	since -= reportSkew
+	spans := make([]span, 0, len(t.slots)+len(t.recent))
 	for s := range t.slots {
-		if s.AssignedAt <= at+reportSkew {
-			n++
-		}
+		spans = append(spans, span{from: s.AssignedAt, to: math.MaxInt64})
 	}
 	for _, s := range t.recent {
-		if s.from <= at+reportSkew && s.to >= at-reportSkew {
+		if s.to >= since {
+			spans = append(spans, s)
+		}
+	}
+	most := 0
+	for _, at := range spans {
+		most = max(most, overlapping(spans, max(at.from, since)))
+	}
+	return most
+}
+
+func overlapping(spans []span, at time.Duration) int {
+	n := 0
+	for _, s := range spans {
+		if s.from <= at && s.to >= at {
 			n++
 		}
 	}
@@ -272,7 +292,8 @@
 		}
 	}
 	t.recent = kept
-	if t.reported && t.report.At+reportTTL < now {
+	if t.report.At+reportTTL < now {
+		t.reported = false
 		t.external = 0
 	}
 }
