--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -150,6 +150,18 @@
 		Expect(b.Term).To(BeEquivalentTo(2))
 	})
 
+	It("moves a waiting request on from a leader that is cut off without a broken connection", func() {
+		f := newFleet(2, targets(1, 1, 1), dispatch.Options{})
+		e, _ := newEntry(f, "e1")
+		_, err := e.Assign(within(5*time.Second), e.request("r1"))
+		Expect(err).NotTo(HaveOccurred())
+		e.silent.Store(f.members[0].server.Addr())
+		f.elect(1)
+		f.topo.Store(targets(2, 1, 1))
+		_, err = e.Assign(within(5*time.Second), e.request("r2"))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("answers waiting calls with not_leader when leadership is lost", func() {
 		f := newFleet(1, targets(1, 1, 1), dispatch.Options{})
 		m := f.members[0].manager
--- /dev/null
+++ b/dispatch/poll_test.go
@@ -0,0 +1,166 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/figlb/figlb/dispatch"
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/structs"
+)
+
+// engineStub answers load reports.
+type engineStub struct {
+	cold    atomic.Bool
+	running atomic.Int64
+	hang    atomic.Bool
+	polls   atomic.Int64
+}
+
+func (s *engineStub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.hang.Load() {
+		<-r.Context().Done()
+		return
+	}
+	switch r.URL.Path {
+	case "/load":
+		s.polls.Add(1)
+		_, _ = fmt.Fprintf(w, `{"running":%d,"waiting":0,"kv_used":0,"kv_total":1000,"cold":%t,"at_ms":%d}`,
+			s.running.Load(), s.cold.Load(), time.Now().UnixMilli())
+	default:
+		_, _ = fmt.Fprint(w, `{"events":[],"next":0}`)
+	}
+}
+
+// serve starts a stub for each target of a topology.
+func serve(topo *dispatch.Topology) []*engineStub {
+	var stubs []*engineStub
+	for i := range topo.Targets {
+		stub := &engineStub{}
+		server := httptest.NewServer(stub)
+		DeferCleanup(server.Close)
+		topo.Targets[i].Address = strings.TrimPrefix(server.URL, "http://")
+		stubs = append(stubs, stub)
+	}
+	return stubs
+}
+
+var _ = Describe("load reports", func() {
+	limit := func(f *fleet, i int) func() int {
+		return func() int {
+			status, err := f.members[0].manager.Status(pool)
+			Expect(err).NotTo(HaveOccurred())
+			return status[i].Limit
+		}
+	}
+
+	It("are read from the others while one target hangs, and only on the leader", func() {
+		topo := targets(3, 4, 4)
+		stubs := serve(topo)
+		stubs[0].hang.Store(true)
+		f := newPollingFleet(2, topo)
+		Eventually(func() int64 { return min(stubs[1].polls.Load(), stubs[2].polls.Load()) }, 3*time.Second).
+			Should(BeNumerically(">=", 3))
+		f.elect(-1)
+		time.Sleep(200 * time.Millisecond)
+		before := stubs[1].polls.Load()
+		Consistently(stubs[1].polls.Load, time.Second).Should(Equal(before))
+	})
+
+	It("reduce a target that says it is cold to its cold-start limit", func() {
+		topo := targets(1, 4, 1)
+		stubs := serve(topo)
+		f := newPollingFleet(1, topo)
+		e, _ := newEntry(f, "e1")
+		for i := range 8 {
+			a, err := e.Assign(within(5*time.Second), e.request(fmt.Sprint(i)))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(e.release(a, structs.OutcomeOK)).To(Succeed())
+		}
+		Expect(limit(f, 0)()).To(BeNumerically(">", 1))
+		stubs[0].cold.Store(true)
+		Eventually(limit(f, 0), 2*time.Second).Should(Equal(1))
+	})
+
+	It("count requests of a dead entry that no scheduler knows", func() {
+		topo := targets(1, 2, 1)
+		stubs := serve(topo)
+		stubs[0].running.Store(1)
+		f := newPollingFleet(1, topo)
+		e, _ := newEntry(f, "e1")
+		_, err := e.Assign(within(2500*time.Millisecond), e.request("r"))
+		Expect(errs.Is(err, errs.Unavailable)).To(BeTrue())
+		stubs[0].running.Store(0)
+		_, err = e.Assign(within(2500*time.Millisecond), e.request("r"))
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
+
+var _ = Describe("the platform's host list", func() {
+	It("takes leaving hosts out and keeps its last state while it cannot be read", func() {
+		var fail atomic.Bool
+		var state atomic.Value
+		state.Store("live")
+		list := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if fail.Load() {
+				w.WriteHeader(http.StatusBadGateway)
+				return
+			}
+			_, _ = fmt.Fprintf(w, `{"hosts":[{"name":"h0","state":%q}]}`, state.Load())
+		}))
+		DeferCleanup(list.Close)
+		f := newFleet(1, targets(2, 1, 1), dispatch.Options{HostListURL: list.URL})
+		drainedTargets := func() string {
+			status, err := f.members[0].manager.Status(pool)
+			Expect(err).NotTo(HaveOccurred())
+			var names []string
+			for _, t := range status {
+				if t.State == "drained" {
+					names = append(names, t.Name)
+				}
+			}
+			return strings.Join(names, " ")
+		}
+		state.Store(hostLeaving)
+		Eventually(drainedTargets, 3*time.Second).Should(Equal("t0"))
+		fail.Store(true)
+		Consistently(drainedTargets, 1500*time.Millisecond).Should(Equal("t0"))
+	})
+})
+
+const hostLeaving = "leaving"
+
+var _ = Describe("the retry budget", func() {
+	// Guards against retries that multiply the load of a failing pool.
+	It("allows 3 retries without successes and a fifth of the successes beyond", func() {
+		f := newFleet(1, targets(2, 64, 64), dispatch.Options{})
+		e, _ := newEntry(f, "e1")
+		retry := func(id string) error {
+			req := e.request(id)
+			req.Exclude = []string{"t0"}
+			_, err := e.Assign(within(5*time.Second), req)
+			return err
+		}
+		for i := range 3 {
+			Expect(retry(fmt.Sprintf("retry%d", i))).To(Succeed())
+		}
+		allowed, err := e.AllowRetry(within(time.Second), pool)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(allowed).To(BeFalse())
+		Expect(errs.Is(retry("over"), errs.TargetFailed)).To(BeTrue())
+		for i := range 20 {
+			a, err := e.Assign(within(5*time.Second), e.request(fmt.Sprint(i)))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(e.release(a, structs.OutcomeOK)).To(Succeed())
+		}
+		Expect(retry("fourth")).To(Succeed())
+		Expect(errs.Is(retry("fifth"), errs.TargetFailed)).To(BeTrue())
+	})
+})
--- a/dispatch/suite_test.go
+++ b/dispatch/suite_test.go
@@ -48,9 +48,18 @@
 
 // newFleet starts n members; the first leads in term 1.
 func newFleet(n int, topo *dispatch.Topology, opts dispatch.Options) *fleet {
+	opts.NoPolling = true
+	return startFleet(n, topo, opts)
+}
+
+// newPollingFleet is newFleet with load reports.
+func newPollingFleet(n int, topo *dispatch.Topology) *fleet {
+	return startFleet(n, topo, dispatch.Options{PollInterval: 200 * time.Millisecond})
+}
+
+func startFleet(n int, topo *dispatch.Topology, opts dispatch.Options) *fleet {
 	f := &fleet{term: 1}
 	f.topo.Store(topo)
-	opts.NoPolling = true
 	for i := range n {
 		m := &member{fleet: f, index: i}
 		f.members = append(f.members, m)
@@ -125,9 +134,15 @@
 	*wire.Client
 	// loseReplies is the number of assign replies to lose.
 	loseReplies *atomic.Int64
+	// silent is the address of a member that answers nothing.
+	silent *atomic.Value
 }
 
 func (c caller) Call(ctx context.Context, method string, req, reply any) error {
+	if c.silent.Load() == c.Addr() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if method == dispatch.MethodAssign && c.loseReplies.Add(-1) >= 0 {
 		if err := c.Client.Call(ctx, method, req, nil); err != nil {
 			return err
@@ -141,6 +156,7 @@
 	*schedclient.Client
 	name        string
 	loseReplies atomic.Int64
+	silent      atomic.Value
 }
 
 // newEntry returns the client of an entry, and a function that kills it.
@@ -154,7 +170,7 @@
 		if clients[addr] == nil {
 			clients[addr] = wire.NewClient(addr, nil)
 		}
-		return caller{Client: clients[addr], loseReplies: &e.loseReplies}
+		return caller{Client: clients[addr], loseReplies: &e.loseReplies, silent: &e.silent}
 	}
 	e.Client = schedclient.New(schedclient.Options{Entry: name, Groups: 4, Resolver: &resolver{fleet: f}, Dial: dial})
 	kill := sync.OnceFunc(func() {
