--- a/sched/cache.go
+++ b/sched/cache.go
@@ -20,7 +20,9 @@
 // to them and from their cache events.
 type CacheMap struct {
 	programs map[uint64][]*item
-	prefixes map[uint64][]*item
+	// prefixes counts the programs on each target that begin with a prefix. A system
+	// prompt that all programs share has as many items as there are programs.
+	prefixes map[uint64]map[*Target]int
 	targets  map[*Target]*memory
 }
 
@@ -37,19 +39,14 @@
 	target   *Target
 	key      uint64
 	tokens   int64
-	prefixes []prefix
+	prefixes []uint64
 	place    *list.Element
 }
 
-type prefix struct {
-	hash   uint64
-	tokens int64
-}
-
 func newCacheMap() *CacheMap {
 	return &CacheMap{
 		programs: map[uint64][]*item{},
-		prefixes: map[uint64][]*item{},
+		prefixes: map[uint64]map[*Target]int{},
 		targets:  map[*Target]*memory{},
 	}
 }
@@ -74,8 +71,8 @@
 		if i >= len(r.PrefixTokens) {
 			return
 		}
-		for _, it := range c.prefixes[h] {
-			fn(it.target, min(r.PrefixTokens[i], it.tokens, r.PromptTokens))
+		for t := range c.prefixes[h] {
+			fn(t, min(r.PrefixTokens[i], r.PromptTokens))
 		}
 	}
 }
@@ -172,20 +169,35 @@
 		if i > 0 && i < n-(maxHashes-1) {
 			continue
 		}
-		it.prefixes = append(it.prefixes, prefix{hash: r.Prefix[i], tokens: r.PrefixTokens[i]})
-		c.prefixes[r.Prefix[i]] = append(c.prefixes[r.Prefix[i]], it)
+		c.link(it, r.Prefix[i])
 	}
 }
 
+func (c *CacheMap) link(it *item, hash uint64) {
+	it.prefixes = append(it.prefixes, hash)
+	holders := c.prefixes[hash]
+	if holders == nil {
+		holders = map[*Target]int{}
+		c.prefixes[hash] = holders
+	}
+	holders[it.target]++
+}
+
 func (c *CacheMap) unlink(it *item) {
-	for _, p := range it.prefixes {
-		removeItem(c.prefixes, p.hash, it)
+	for _, hash := range it.prefixes {
+		holders := c.prefixes[hash]
+		if holders[it.target]--; holders[it.target] == 0 {
+			delete(holders, it.target)
+		}
+		if len(holders) == 0 {
+			delete(c.prefixes, hash)
+		}
 	}
 	it.prefixes = it.prefixes[:0]
 }
 
-func removeItem(index map[uint64][]*item, key uint64, it *item) {
-	list := index[key]
+func (c *CacheMap) removeProgram(it *item) {
+	list := c.programs[it.key]
 	for i, x := range list {
 		if x != it {
 			continue
@@ -196,10 +208,10 @@
 		break
 	}
 	if len(list) == 0 {
-		delete(index, key)
+		delete(c.programs, it.key)
 		return
 	}
-	index[key] = list
+	c.programs[it.key] = list
 }
 
 func (c *CacheMap) drop(it *item) {
@@ -207,7 +219,7 @@
 	m.lru.Remove(it.place)
 	m.used -= it.tokens
 	delete(m.items, it.key)
-	removeItem(c.programs, it.key, it)
+	c.removeProgram(it)
 	c.unlink(it)
 }
 
--- a/sched/cost.go
+++ b/sched/cost.go
@@ -100,11 +100,16 @@
 // estimate fills in the estimates of a new slot.
 func (c *CostModel) estimate(now time.Duration, s *Slot, r *Request) {
 	s.batch = s.Target.InUse() + 1
-	s.queuedPre = s.Target.pendingPrefill(now)
+	t := s.Target
+	computed := max(r.PromptTokens-s.Cached, 0)
+	ahead := t.pendingPrefill(now)
+	s.queuedPre = int64(ahead.Seconds() / c.first.slope())
+	s.prefill = c.prefill(computed)
+	t.prefillDone = now + ahead + s.prefill
 	if r.PromptTokens > 0 {
 		s.Output = c.output(r.Service, r.MaxTokens)
 	}
-	s.ttft = c.firstToken(r.PromptTokens - s.Cached + s.queuedPre)
+	s.ttft = ahead + c.firstToken(computed)
 	s.firstAt = now + s.ttft
 	s.endAt = s.firstAt + time.Duration(s.Output)*c.perToken(s.batch)
 }
@@ -144,18 +149,21 @@
 	return ttft > slowTTFTFactor*s.ttft+slowTTFTFloor
 }
 
-// pendingPrefill returns the prompt tokens that the target has still to compute for the
-// requests it has, by the estimates made at their assignment.
-func (t *Target) pendingPrefill(now time.Duration) int64 {
-	var n int64
-	for s := range t.slots {
-		if s.firstAt <= now || s.ttft <= 0 {
-			continue
-		}
-		left := float64(s.firstAt-now) / float64(s.ttft)
-		n += int64(left * float64(max(s.Prompt-s.Cached, 0)))
+// pendingPrefill returns the time that the target still needs to compute the prompts of
+// the requests it has.
+func (t *Target) pendingPrefill(now time.Duration) time.Duration {
+	return max(t.prefillDone-now, 0)
+}
+
+// endedEarly takes a request that has ended before its estimated first token out of the
+// prompts to be computed.
+func (t *Target) endedEarly(now time.Duration, s *Slot) {
+	switch {
+	case len(t.slots) == 0:
+		t.prefillDone = now
+	case s.firstAt > now:
+		t.prefillDone -= min(s.prefill, s.firstAt-now)
 	}
-	return n
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/sched/fair.go
+++ b/sched/fair.go
@@ -186,7 +186,7 @@
 	}
 	computed := max(r.PromptTokens-cached, 0)
 	output := time.Duration(v.Cost.output(r.Service, r.MaxTokens))
-	first := v.Cost.firstToken(computed + t.pendingPrefill(v.Now))
+	first := t.pendingPrefill(v.Now) + v.Cost.firstToken(computed)
 	decode := output * v.Cost.perToken(inUse+1)
 	own := float64(first) + float64(decode)*t.slowFactor()
 	slowdown := v.Cost.prefill(computed) + output*v.Cost.perTokenSlope()
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -180,6 +180,7 @@
 	delete(p.slots, s.ID)
 	t := s.Target
 	delete(t.slots, s)
+	t.endedEarly(now, s)
 	t.prune(now)
 	t.recent = append(t.recent, span{from: s.AssignedAt, to: now})
 	p.rate.add(now)
--- a/sched/target.go
+++ b/sched/target.go
@@ -76,6 +76,8 @@
 	reported bool
 	external int  // requests on the target that are not in this account
 	speed    ewma // time per token relative to the pool's
+	// prefillDone is the estimated time at which the prompts of all slots are computed.
+	prefillDone time.Duration
 }
 
 type span struct{ from, to time.Duration }
--- a/sched/types.go
+++ b/sched/types.go
@@ -92,6 +92,7 @@
 	endAt     time.Duration // estimates of first token and completion
 	ttft      time.Duration // estimated time to first token
 	batch     int           // slots in use on the target at assignment, this one included
+	prefill   time.Duration // estimated time to compute the prompt
 	queuedPre int64         // prompt tokens ahead of this request on the target
 }
 
