--- a/statemachine/orgsm/begin.go
+++ b/statemachine/orgsm/begin.go
@@ -61,12 +61,15 @@
 }
 
 // numberOf returns the number of the turn that c asks for. Number 0 asks for the first
-// turn without an answer.
+// turn without an answer, or for the only turn of an implicit program.
 func (p *program) numberOf(c *structs.BeginTurn) int {
-	if c.Turn == 0 {
-		return p.Rec.Answered + 1
+	switch {
+	case c.Turn != 0:
+		return c.Turn
+	case p.Implicit:
+		return 1
 	}
-	return c.Turn
+	return p.Rec.Answered + 1
 }
 
 // recorded returns an answered turn.
@@ -179,7 +182,7 @@
 	if old := p.running(); old != nil {
 		// The old attempt may have used all of its reservation.
 		o.settle(p, old, old.Reserved)
-		p.LostAttempt = true
+		p.LostAttempt = !p.Implicit // programs of one call have no engine session
 	}
 	t := structs.Turn{
 		N: n, State: structs.TurnRunning, Attempt: attempt, Digest: c.Digest,
--- a/statemachine/orgsm/bucket.go
+++ b/statemachine/orgsm/bucket.go
@@ -47,7 +47,7 @@
 	}
 	gain, rest := bits.Div64(hi, lo, microRate)
 	if gain >= uint64(max(l.burst-b.Level, 0)) {
-		return bucket{Level: min(max(b.Level, l.burst), l.burst), At: now}
+		return bucket{Level: l.burst, At: now}
 	}
 	b.Level += int64(gain)
 	b.Rest = rest
--- a/statemachine/orgsm/expire.go
+++ b/statemachine/orgsm/expire.go
@@ -62,7 +62,9 @@
 func (o *org) abandon(p *program, t *structs.Turn) {
 	o.settle(p, t, t.Reserved)
 	t.State = structs.TurnFailed
-	o.queueRelease(p.Rec.ID, AnyTargetOf(p.Rec.Service))
+	if !p.Implicit {
+		o.queueRelease(p.Rec.ID, AnyTargetOf(p.Rec.Service))
+	}
 	o.notify(turnKey(p.Rec.ID, t.N))
 }
 
