--- a/entry/fakestate_test.go
+++ b/entry/fakestate_test.go
@@ -56,9 +56,13 @@
 	fn()
 }
 
+func dead(entry, self string, live []string) bool {
+	return len(live) > 0 && entry != self && !slices.Contains(live, entry)
+}
+
 func lost() error { return errs.New(errs.Uncertain, "ask again", "no reply") }
 
-func (f *fakeState) ConfirmConfig(_ context.Context, req structs.ConfirmConfig) (*structs.ConfirmReply, error) {
+func (f *fakeState) Confirm(_ context.Context, req structs.ConfirmConfig) (*structs.ConfirmReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cutOff {
@@ -73,10 +77,10 @@
 	return r, nil
 }
 
-func (f *fakeState) AddFingerprint(_ context.Context, fp structs.Fingerprint) error {
+func (f *fakeState) AddFingerprint(_ context.Context, _ string, fp structs.Fingerprint) (*structs.ConfigReply, error) {
 	f.set(structs.KindFingerprint, fp.Digest, fp)
 	f.change(func() { f.finger = append(f.finger, fp) })
-	return nil
+	return &structs.ConfigReply{}, nil
 }
 
 func (f *fakeState) OpenProgram(_ context.Context, org string, q structs.OpenProgram) (*structs.Program, error) {
@@ -144,7 +148,7 @@
 			return nil, errs.New(errs.TurnConflict, "send the same request", "turn %d has another request", n)
 		case t.State == structs.TurnAnswered:
 			return &structs.BeginTurnReply{Program: *p, Turn: *t, Recorded: true}, nil
-		case t.State == structs.TurnRunning && slices.Contains(q.LiveEntries, t.Entry):
+		case t.State == structs.TurnRunning && !dead(t.Entry, q.Entry, q.LiveEntries):
 			return nil, errs.New(errs.TurnInProgress, "wait", "turn %d runs", n)
 		}
 	}
@@ -169,15 +173,15 @@
 	return r, nil
 }
 
-func (f *fakeState) FinishTurn(_ context.Context, org string, q structs.FinishTurn) error {
+func (f *fakeState) FinishTurn(_ context.Context, org string, q structs.FinishTurn) (*structs.Program, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.failFinish {
-		return lost()
+		return nil, lost()
 	}
 	t := f.turns[org+q.Program][q.Turn-1]
 	if t.Attempt != q.Attempt || t.State != structs.TurnRunning {
-		return errs.New(errs.Superseded, "read the turn", "attempt %d is over", q.Attempt)
+		return nil, errs.New(errs.Superseded, "read the turn", "attempt %d is over", q.Attempt)
 	}
 	f.finishes = append(f.finishes, q)
 	t.State = structs.TurnFailed
@@ -186,7 +190,7 @@
 		t.State, t.Answer, t.FinishReason, t.Usage = structs.TurnAnswered, q.Answer, q.FinishReason, q.Usage
 		f.programs[org+q.Program].Answered = q.Turn
 	}
-	return nil
+	return f.programs[org+q.Program], nil
 }
 
 // poll repeats get until it returns true or the wait is over.
@@ -220,7 +224,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := f.calls[org+q.Key]
-	if c != nil && c.State == structs.CallRunning && !slices.Contains(q.LiveEntries, c.Entry) {
+	if c != nil && c.State == structs.CallRunning && dead(c.Entry, q.Entry, q.LiveEntries) {
 		c.State = structs.CallUnknown
 	}
 	if c != nil && c.State != structs.CallNotRun {
@@ -282,6 +286,8 @@
 	// hold, if set, blocks Assign until it is closed.
 	hold chan struct{}
 	fail error
+	// noRetry tells that the retry budget is used up.
+	noRetry bool
 }
 
 func (s *fakeScheduler) Assign(ctx context.Context, req *structs.AssignRequest) (*structs.Assignment, error) {
@@ -327,4 +333,8 @@
 	return nil
 }
 
-func (s *fakeScheduler) Report(context.Context, *structs.ReportSlots) error { return nil }
+func (s *fakeScheduler) AllowRetry(context.Context, string) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.noRetry, nil
+}
