--- a/sched/pool.go
+++ b/sched/pool.go
@@ -180,6 +180,7 @@
 	delete(p.slots, s.ID)
 	t := s.Target
 	delete(t.slots, s)
+	t.endedEarly(now, s)
 	t.prune(now)
 	t.recent = append(t.recent, span{from: s.AssignedAt, to: now})
 	p.rate.add(now)
@@ -218,12 +219,12 @@
 		}
 		p.view.Cache.answered(t, s, rel.Usage)
 	case structs.OutcomeError:
-		t.onError(now)
+		t.onError(now, s.AssignedAt)
 	case structs.OutcomeCrash:
-		t.onBroken(now)
+		t.onBroken(now, s.AssignedAt)
 		p.view.Cache.clear(t)
 	case structs.OutcomeRefused:
-		t.onBroken(now)
+		t.onBroken(now, s.AssignedAt)
 	}
 }
 
