replica: let a wiped member join while its old incarnation is a voter

Cause: a wiped member looked only at the first message of a batch to learn that it is addressed. The leader's messages for the old incarnation go to the same connection and often came first, so the member was never repaired. Ruled out: a broken connection after the restart (hello calls were answered) and a learner that cannot catch up (its match index stayed 0). Change: a member joins if any message of a batch is for its incarnation.

--- a/replica/incarnation.go
+++ b/replica/incarnation.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -175,8 +176,14 @@
 	}
 }
 
+// addresses reports whether any message of the batch is for p. While an old incarnation is
+// still a voter, a batch holds messages for it as well.
+func (b *batch) addresses(p raft.Peer) bool {
+	return slices.ContainsFunc(b.Messages, func(gm groupMessage) bool { return gm.Message.To == p })
+}
+
 func (inc *incarnation) join(b *batch) {
-	if b.Cluster == 0 || len(b.Messages) == 0 || b.Messages[0].Message.To != inc.self {
+	if b.Cluster == 0 || !b.addresses(inc.self) {
 		return
 	}
 	if !inc.joining.CompareAndSwap(false, true) {
