--- a/engine/plain.go
+++ b/engine/plain.go
@@ -65,6 +65,9 @@
 	if echo := resp.Header.Get(HeaderRequestID); echo != "" && echo != req.RequestID {
 		return nil, &Failure{Outcome: structs.OutcomeError, Written: true, Status: resp.StatusCode, Err: ErrMismatch}
 	}
+	if isRedirect(resp) {
+		return nil, &Failure{Outcome: structs.OutcomeError, Written: true, Status: resp.StatusCode, Err: ErrRedirect}
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxPlainReply+1))
 	if err != nil {
 		return nil, x.failure(ctx, errors.Wrap(err, "read answer"), resp.StatusCode)
@@ -75,6 +78,12 @@
 	return &PlainReply{Status: resp.StatusCode, Header: resp.Header, Body: body, Duration: time.Since(start)}, nil
 }
 
+// isRedirect reports whether the answer sends the caller elsewhere. It is not passed on: a
+// caller that follows it would repeat the call past figlb, with its key.
+func isRedirect(resp *http.Response) bool {
+	return resp.StatusCode/100 == 3 && resp.Header.Get("Location") != ""
+}
+
 func (c *Client) transport(req PlainRequest) *http.Transport {
 	if req.Fresh {
 		return c.fresh
