--- /dev/null
+++ b/cmd/figlb-compare/main.go
@@ -0,0 +1,71 @@
+// Command figlb-compare compares the scheduling policy with the baselines on the models
+// of both sites and prints a table and JSON.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/figlb/figlb/sched/compare"
+)
+
+func main() {
+	seeds := flag.Int("seeds", 3, "number of seeds")
+	loads := flag.String("loads", "50,80,100", "loads in percent of the rate that saturates the best baseline")
+	floodLoad := flag.Float64("flood-load", 80, "load in percent before one organisation sends eight times its rate; 0: no such run")
+	site := flag.String("site", "", "only this site")
+	jsonPath := flag.String("json", "", "file for the JSON report")
+	flag.Parse()
+	if err := run(*seeds, *loads, *floodLoad, *site, *jsonPath); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(seeds int, loads string, floodLoad float64, site, jsonPath string) error {
+	report := &compare.Report{Saturation: map[string]float64{}}
+	for i := range seeds {
+		report.Seeds = append(report.Seeds, uint64(i+1))
+	}
+	for _, s := range compare.Sites {
+		if site != "" && site != s.Name {
+			continue
+		}
+		if err := compareSite(report, s, loads, floodLoad); err != nil {
+			return err
+		}
+	}
+	if err := report.WriteTable(os.Stdout); err != nil {
+		return err
+	}
+	if jsonPath == "" {
+		return nil
+	}
+	f, err := os.Create(jsonPath)
+	if err != nil {
+		return err
+	}
+	if err := report.WriteJSON(f); err != nil {
+		return err
+	}
+	return f.Close()
+}
+
+func compareSite(report *compare.Report, s compare.Site, loads string, floodLoad float64) error {
+	saturation := compare.Saturation(s)
+	report.Saturation[s.Name] = saturation
+	for _, item := range strings.Split(loads, ",") {
+		load, err := strconv.ParseFloat(item, 64)
+		if err != nil {
+			return err
+		}
+		report.Figures = append(report.Figures, compare.Compare(s, saturation, load/100, report.Seeds)...)
+	}
+	if floodLoad > 0 {
+		report.Floods = append(report.Floods, compare.Floods(s, saturation, floodLoad/100, report.Seeds[0])...)
+	}
+	return nil
+}
