--- a/statemachine/orgsm/rules_test.go
+++ b/statemachine/orgsm/rules_test.go
@@ -356,6 +356,14 @@
 		Expect(debit(g)).To(BeNil())
 	})
 
+	It("is full, and no more, after a time that overflows 64 bits", func() {
+		g := newGroup()
+		g.lim.Rate, g.lim.Burst = 1e6, 2
+		Expect(debit(g)).To(BeNil())
+		g.now += 10_000 * time.Hour
+		Expect([]bool{debit(g) == nil, debit(g) == nil, debit(g) == nil}).To(Equal([]bool{true, true, false}))
+	})
+
 	It("takes the limits of the highest revision seen", func() {
 		g := newGroup()
 		g.lim = structs.Limits{Revision: 5, Rate: 1, Burst: 1}
