Bound open programs, and acquire the issuer's lease only for due orders

An organisation could fill the memory of its group by opening programs, which its rate does not limit; 100,000 open programs is the bound now.

A release for all targets of a service that is no longer declared goes to all engines.

The linearizability test failed once in a run of the whole package: its second finish of a turn carried the failure of the first, while its record said answer, so that the specification differed when only the second was run.

--- a/statemachine/configsm/query.go
+++ b/statemachine/configsm/query.go
@@ -116,16 +116,15 @@
 	return t, ok
 }
 
-// TargetsOf returns the targets that serve a service, in order of their names.
-func (m *Machine) TargetsOf(service string) []structs.Target {
+// EnginesOf returns the model engines that serve a service, in order of their names. If
+// the service is not declared any more, it returns all engines.
+func (m *Machine) EnginesOf(service string) []structs.Target {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	o, ok := m.state.live(structs.KindService, service)
-	if !ok {
-		return nil
-	}
 	var v structs.Service
-	decode(o, &v)
+	if o, ok := m.state.live(structs.KindService, service); ok {
+		decode(o, &v)
+	}
 	var out []structs.Target
 	for id, o := range m.state.objects {
 		if id.kind != structs.KindTarget || o.Deleted {
@@ -133,7 +132,7 @@
 		}
 		var t structs.Target
 		decode(o, &t)
-		if t.Pool() == v.Pool() {
+		if t.Model != "" && (v.Model == "" || t.Model == v.Model) {
 			out = append(out, t)
 		}
 	}
--- a/statemachine/orgsm/begin.go
+++ b/statemachine/orgsm/begin.go
@@ -41,7 +41,7 @@
 		return refuse(err)
 	}
 	if created {
-		o.programs[c.Program] = p
+		o.add(p)
 	}
 	t := *o.start(p, n, c, prompt+maxTokens, now)
 	t.Messages = nil
--- a/statemachine/orgsm/program.go
+++ b/statemachine/orgsm/program.go
@@ -8,6 +8,14 @@
 	"github.com/figlb/figlb/structs"
 )
 
+// maxOpenPrograms bounds the memory that an organisation can take by opening programs,
+// which its rate does not limit. It is near the number of all programs in progress at
+// the target size.
+const maxOpenPrograms = 100_000
+
+// openRetryAfter is told to callers over that bound.
+const openRetryAfter = time.Minute
+
 func (o *org) openProgram(c *structs.OpenProgram, now time.Duration) structs.OrgReply {
 	o.see(c.Limits, now)
 	if c.ID == "" {
@@ -16,18 +24,28 @@
 	if o.programs[c.ID] != nil {
 		return refuse(errs.New(errs.BadRequest, "use a new id", "program id %q is in use", c.ID))
 	}
+	if o.open >= maxOpenPrograms {
+		return refuse(errs.New(errs.Overloaded, "end programs that are no longer used",
+			"organisation %s has %d open programs", o.name, o.open).WithRetryAfter(openRetryAfter))
+	}
 	p := &program{Rec: o.newRecord(c, now)}
 	if c.Parent != "" {
 		if err := o.adopt(p, c.Parent); err != nil {
 			return refuse(err)
 		}
 	}
-	o.programs[c.ID] = p
+	o.add(p)
 	o.touch(p, now)
 	rec := o.view(p)
 	return structs.OrgReply{Program: &rec}
 }
 
+// add stores a new program.
+func (o *org) add(p *program) {
+	o.programs[p.Rec.ID] = p
+	o.open++
+}
+
 func (o *org) newRecord(c *structs.OpenProgram, now time.Duration) structs.Program {
 	return structs.Program{
 		ID:         c.ID,
@@ -88,6 +106,7 @@
 	}
 	p.Rec.State = state
 	p.EndedAt = now
+	o.open--
 	o.queueReleases(p)
 	for _, id := range p.Children {
 		if child := o.programs[id]; child != nil {
--- a/statemachine/orgsm/rules_test.go
+++ b/statemachine/orgsm/rules_test.go
@@ -241,6 +241,22 @@
 	})
 })
 
+var _ = Describe("open programs", func() {
+	// Guards against an organisation that fills the memory without using its rate.
+	It("are bounded, also after a restore", func() {
+		g := newGroup()
+		for i := range 100_000 {
+			g.do(g.open(fmt.Sprint(i), ""))
+		}
+		data, err := g.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(g.Restore(data)).To(Succeed())
+		Expect(g.do(g.open("more", "")).Err.Code).To(Equal(errs.Overloaded))
+		g.must(end("7"))
+		g.must(g.open("more", ""))
+	})
+})
+
 var _ = Describe("calls", func() {
 	It("become unknown when their entry dies, and may be finished by it after all", func() {
 		g := prepared()
--- a/statemachine/orgsm/snapshot.go
+++ b/statemachine/orgsm/snapshot.go
@@ -117,6 +117,9 @@
 	o.seen, o.limits, o.bucket = s.Seen, s.Limits, s.Bucket
 	for _, p := range s.Programs {
 		o.programs[p.Rec.ID] = p
+		if p.Rec.State == structs.ProgramOpen {
+			o.open++
+		}
 	}
 	for _, k := range s.Calls {
 		o.calls[k.Rec.Key] = k
--- a/statemachine/orgsm/state.go
+++ b/statemachine/orgsm/state.go
@@ -14,6 +14,7 @@
 	limits   structs.Limits
 	bucket   bucket
 	programs map[string]*program
+	open     int // programs in state open
 	calls    map[string]*call
 	// releases holds the pending releases with Seq 0 as keys and their Seq as values.
 	releases   map[structs.Release]uint64
--- a/stateserver/issuer.go
+++ b/stateserver/issuer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,6 +65,7 @@
 		return
 	}
 	orders := oldestPending(i.s.Machines.Config.Orders())
+	orders = slices.DeleteFunc(orders, func(o structs.EngineOrder) bool { return !i.due(o.Target) })
 	if len(orders) == 0 {
 		return
 	}
@@ -143,7 +145,7 @@
 // check fencing numbers, whether each older lease has ended. The first issuer of a site
 // has no predecessor.
 func (i *issuer) mayIssue(l lease, t *structs.Target) bool {
-	if !i.due(t.Name) || time.Since(l.askedAt) > issuerLease-orderTimeout {
+	if time.Since(l.askedAt) > issuerLease-orderTimeout {
 		return false
 	}
 	return t.ChecksFencing || l.fencing == 1 || time.Since(l.gotAt) >= issuerWait
--- a/stateserver/linear_test.go
+++ b/stateserver/linear_test.go
@@ -210,14 +210,14 @@
 					if n%3 == 0 {
 						f.Answer, f.Failure = nil, errs.New(errs.TargetFailed, "retry", "injected")
 					}
-					for range 2 { // the second one comes too late
+					for range 2 { // the second one comes too late, unless the first was not run
 						rec.do(w, op{what: "finish", turn: turn, try: b.attempt, value: string(f.Answer)}, func() outcome {
 							if _, err := c.FinishTurn(ctx, "acme", f); err != nil {
 								return failed(err)
 							}
 							return outcome{}
 						})
-						f.Answer = append(f.Answer, "-again"...)
+						f.Answer, f.Failure = append(f.Answer, "-again"...), nil
 					}
 				}
 				cancel()
--- a/stateserver/member.go
+++ b/stateserver/member.go
@@ -53,6 +53,9 @@
 	return &structs.GroupsReply{Groups: groups}, nil
 }
 
+// maxSnapshotBytes is what fits into a wire frame (64 MB) with its envelope.
+const maxSnapshotBytes = 63 << 20
+
 // saveSnapshot returns the state of one group.
 func (s *Server) saveSnapshot(ctx context.Context, r *structs.GroupSnapshot) (any, error) {
 	if err := s.read(ctx, r.Group); err != nil {
@@ -62,6 +65,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(data) > maxSnapshotBytes {
+		return nil, errs.New(errs.Unavailable, "copy the data folder of a stopped member",
+			"the state of group %d has %d bytes, more than one message holds", r.Group, len(data))
+	}
 	return &structs.GroupSnapshot{Group: r.Group, Data: data}, nil
 }
 
--- a/stateserver/releaser.go
+++ b/stateserver/releaser.go
@@ -131,7 +131,7 @@
 // targetsOf returns the declared targets that a release concerns.
 func (r *releaser) targetsOf(p orgsm.OrgRelease) []structs.Target {
 	if service, ok := orgsm.ServiceOfRelease(p.Target); ok {
-		return r.s.Machines.Config.TargetsOf(service)
+		return r.s.Machines.Config.EnginesOf(service)
 	}
 	if t, ok := r.s.Machines.Config.Target(p.Target); ok {
 		return []structs.Target{t}
