--- a/entry/call.go
+++ b/entry/call.go
@@ -54,7 +54,7 @@
 	} else {
 		q.e.background(func() { c.run(context.WithoutCancel(r.Context())) })
 	}
-	ctx, untrack := q.e.keys.track(r.Context(), q.id.KeyID)
+	ctx, untrack := q.e.trackKey(r.Context(), q.id.KeyID)
 	defer untrack()
 	select {
 	case <-c.done:
@@ -95,6 +95,9 @@
 
 func (c *call) close(res *engine.PlainReply, fail *errs.Error) {
 	c.result, c.fail = res, fail
+	if fail != nil {
+		c.q.e.countError(fail)
+	}
 	close(c.done)
 }
 
@@ -128,6 +131,7 @@
 	cctx, cancel := c.q.e.commitContext(ctx)
 	defer cancel()
 	c.q.e.calls.beginning(c.tableKey())
+	defer c.q.e.timeSince(metricBegin, time.Now())
 	b, err := c.q.e.state.BeginCall(cctx, c.q.org, structs.BeginCall{
 		Key:         c.key,
 		Service:     c.q.svc.Name,
@@ -212,7 +216,7 @@
 	defer c.q.e.calls.end(c.tableKey(), c)
 	stop := c.q.e.cancelOnStop(&ctx)
 	defer stop()
-	wait, untrack := c.q.e.keys.track(ctx, c.q.id.KeyID)
+	wait, untrack := c.q.e.trackKey(ctx, c.q.id.KeyID)
 	defer untrack()
 	for n := 1; ; n++ {
 		res, f, fail := c.q.attempt(wait, ctx, n, c.key)
@@ -282,6 +286,7 @@
 	cctx, cancel := c.q.e.commitContext(ctx)
 	defer cancel()
 	cmd.Key, cmd.Entry = c.key, c.q.e.incarn
+	defer c.q.e.timeSince(metricFinish, time.Now())
 	_, err := c.q.e.state.FinishCall(cctx, c.q.org, cmd)
 	if err != nil {
 		c.q.e.log.Info("call outcome not recorded yet", "key", c.key, "state", cmd.State, "error", err.Error())
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"maps"
@@ -61,8 +62,8 @@
 	if len(g.prompt) == 0 {
 		g.prompt = t.req.messages
 	}
-	g.prefix = prefixesOf(t.svc.Model, g.hist.messages, g.prompt, b.Program.ContextTokens)
-	g.digest = t.req.digestWith(g.hist.messages)
+	g.prefix = g.hist.chain.addAll(g.prompt).prefixes(t.svc.Model, g.hist.chain.bytes, b.Program.ContextTokens)
+	g.digest = t.req.digestAfter(g.hist)
 	return g
 }
 
@@ -164,7 +165,9 @@
 	if t.svc.Deadline > 0 {
 		req.Deadline = max(t.svc.Deadline-req.ProgramAge, time.Millisecond)
 	}
+	start := time.Now()
 	asg, err := t.e.sched.Assign(ctx, req)
+	t.e.timeSince(metricAssign, start)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, g.runState(contextError(ctx).WithRun(errs.NotRun))
@@ -219,19 +222,23 @@
 	if !t.implicit {
 		out["session_id"] = t.program
 	}
-	messages := make([]json.RawMessage, 0, len(g.hist.messages)+len(g.prompt)+1)
-	for _, m := range g.hist.messages {
-		messages = append(messages, m)
-	}
-	for _, m := range g.prompt {
-		messages = append(messages, m)
-	}
+	messages := append(g.hist.messages[:len(g.hist.messages):len(g.hist.messages)], g.prompt...)
 	if !g.answer.empty() {
 		messages = append(messages, g.answer.partialMessage())
 		out["continue_final_message"] = true
 	}
-	out["messages"] = messages
-	return mustJSON(out)
+	return withMessages(mustJSON(out), messages)
+}
+
+// withMessages adds the messages to a JSON object that is not empty. They are valid
+// JSON already and may be long, so they are copied and not encoded again.
+func withMessages(object []byte, messages [][]byte) []byte {
+	var buf bytes.Buffer
+	buf.Write(object[:len(object)-1])
+	buf.WriteString(`,"messages":[`)
+	buf.Write(bytes.Join(messages, []byte{','}))
+	buf.WriteString("]}")
+	return buf.Bytes()
 }
 
 // forward adds a chunk to the answer and publishes it.
@@ -247,6 +254,9 @@
 	if err := g.answer.add(c); err != nil {
 		return err
 	}
+	if g.answer.chunks == 1 && c.HasTokens() {
+		g.t.e.timeSince(metricTTFT, g.started)
+	}
 	g.roleSent = true
 	data := g.t.chunks.content(c)
 	if g.t.req.stream {
@@ -258,6 +268,7 @@
 }
 
 func (g *generation) release(asg *structs.Assignment, o structs.Outcome, res engine.ChatResult) {
+	g.t.e.countOutcome(o)
 	g.t.e.release(structs.ReleaseSlot{
 		Pool:     g.t.svc.Pool(),
 		Entry:    g.t.e.incarn,
@@ -289,6 +300,7 @@
 	if len(g.targets) >= maxDispatches || !g.t.e.allowRetry(ctx, g.t.svc.Pool()) {
 		return g.runState(targetFailed(f)), false
 	}
+	g.t.e.count(metricRetries)
 	return nil, true
 }
 
@@ -327,6 +339,7 @@
 
 // addFingerprint records a fingerprint in the background.
 func (e *Entry) addFingerprint(ctx context.Context, f structs.Fingerprint) {
+	e.count(metricQuarantine)
 	e.background(func() {
 		cctx, cancel := e.commitContext(ctx)
 		defer cancel()
--- a/entry/server.go
+++ b/entry/server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"path"
@@ -108,6 +110,7 @@
 		h.ReadHeaderTimeout = readHeaderTimeout
 		h.IdleTimeout = idleTimeout
 		h.MaxHeaderBytes = maxHeaderBytes
+		h.ErrorLog = stdlog.New(io.Discard, "", 0) // net/http's lines may quote requests
 		h.BaseContext = func(l net.Listener) context.Context {
 			listening <- l.Addr().String()
 			return context.Background()
@@ -218,7 +221,7 @@
 	if err := s.http.Shutdown(ctx); err != nil {
 		e.log.Info("requests left at the drain deadline", "error", err.Error())
 	}
-	waitFor(ctx, e.work.Wait)
+	e.work.Wait(ctx)
 	s.Close()
 }
 
@@ -232,16 +235,3 @@
 	_ = s.http.Close()
 	s.e.Close()
 }
-
-// waitFor returns when wait has returned or ctx has ended.
-func waitFor(ctx context.Context, wait func()) {
-	done := make(chan struct{})
-	go func() {
-		wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
