Leave the retry budget to the scheduler

The scheduler counts a retry for each assignment that excludes targets and refuses it when the budget is used up, so the entry's own budget and its question before each retry counted the same thing twice. A request that has excluded all targets of its pool is given up at once; in the queue it would wait without end.

--- a/entry/call.go
+++ b/entry/call.go
@@ -219,16 +219,15 @@
 	wait, untrack := c.q.e.trackKey(ctx, c.q.id.KeyID)
 	defer untrack()
 	for n := 1; ; n++ {
-		res, f, fail := c.q.attempt(wait, ctx, n, c.key)
+		res, f, fail := c.q.attempt(wait, ctx, c.key)
 		switch {
 		case fail != nil:
 			c.closeNotRun(ctx, fail)
 		case f == nil:
-			c.q.e.retries.success(c.q.svc.Pool())
 			c.closeFinished(ctx, res)
 		case f.Written:
 			c.closeLost(ctx, f)
-		case n < maxDispatches && c.q.e.allowRetry(ctx, c.q.svc.Pool()):
+		case c.q.e.mayRetry(c.q.svc.Pool(), n, c.q.exclude):
 			continue
 		default:
 			c.closeNotRun(ctx, targetFailed(f))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -73,7 +73,6 @@
 	metrics   metrics.Registry
 	config    *follower
 	client    *engine.Client
-	retries   *retryBudget
 	histories *historyCache
 	turns     *liveTable[turn]
 	calls     *liveTable[call]
@@ -101,7 +100,6 @@
 		log:       opts.Log,
 		metrics:   opts.Metrics,
 		client:    engine.NewClient(opts.Timing.Engine),
-		retries:   newRetryBudget(time.Now),
 		histories: newHistoryCache(historyCacheBytes),
 		turns:     newLiveTable[turn](),
 		calls:     newLiveTable[call](),
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -49,6 +49,7 @@
 	targets  []string
 	exclude  []string
 	crashes  int
+	last     *engine.Failure
 	// written tells that a target may have seen the request, spent that it may have
 	// generated tokens that no usage accounts for.
 	written bool
@@ -119,7 +120,6 @@
 	if f == nil {
 		// The target is free while the answer is being recorded.
 		g.release(asg, structs.OutcomeOK, res)
-		g.t.e.retries.success(g.t.svc.Pool())
 		g.succeed(ctx, res)
 		return nil, false
 	}
@@ -172,7 +172,11 @@
 		if ctx.Err() != nil {
 			return nil, g.runState(contextError(ctx).WithRun(errs.NotRun))
 		}
-		return nil, g.runState(assignError(err))
+		e := assignError(err)
+		if e.Code == errs.TargetFailed && g.last != nil {
+			e = retryRefused(g.last, e.RetryAfter)
+		}
+		return nil, g.runState(e)
 	}
 	return asg, nil
 }
@@ -297,14 +301,14 @@
 	if !g.resume() {
 		return targetFailed(f).WithRun(errs.RunUnknown), false
 	}
-	if len(g.targets) >= maxDispatches || !g.t.e.allowRetry(ctx, g.t.svc.Pool()) {
+	if !g.t.e.mayRetry(g.t.svc.Pool(), len(g.targets), g.exclude) {
 		return g.runState(targetFailed(f)), false
 	}
-	g.t.e.count(metricRetries)
 	return nil, true
 }
 
 func (g *generation) note(asg *structs.Assignment, f *engine.Failure) {
+	g.last = f
 	g.exclude = append(g.exclude, asg.Target)
 	g.written = g.written || f.Written
 	if f.Written && f.Status == 0 || f.Status == 200 {
--- a/entry/interfaces.go
+++ b/entry/interfaces.go
@@ -32,9 +32,9 @@
 // Scheduler assigns requests to targets; *schedclient.Client implements it. It reports
 // the slots in use to the schedulers from Assign until Release.
 type Scheduler interface {
-	// Assign waits in the scheduler's queue until a target has a free slot.
+	// Assign waits in the scheduler's queue until a target has a free slot. A request that
+	// excludes targets is a retry: it fails with errs.TargetFailed if the pool's retry
+	// budget is used up.
 	Assign(ctx context.Context, req *structs.AssignRequest) (*structs.Assignment, error)
 	Release(ctx context.Context, req *structs.ReleaseSlot) error
-	// AllowRetry asks whether the pool's retry budget allows a retry now.
-	AllowRetry(ctx context.Context, pool string) (bool, error)
 }
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -44,6 +44,11 @@
 
 	exclude []string
 	crashes int
+	last    *engine.Failure
+	// busy is the last answer by which a target refused the request.
+	busy *engine.PlainReply
+	// written tells that a target may have seen the request.
+	written bool
 }
 
 // handlePlain serves all paths that are not figlb's own.
@@ -144,46 +149,43 @@
 	if err := q.e.state.Debit(ctx, q.org, structs.Debit{Limits: q.limits}); err != nil {
 		return nil, stateError(err)
 	}
-	written := false
 	for n := 1; ; n++ {
-		res, f, fail := q.attempt(ctx, ctx, n, "")
-		if fail != nil && written && fail.Run == errs.NotRun {
-			fail = fail.WithRun(errs.RunUnknown)
-		}
-		if fail != nil {
-			return nil, fail
-		}
-		if f == nil && !busyStatus(res.Status) {
-			q.e.retries.success(q.svc.Pool())
+		res, f, fail := q.attempt(ctx, ctx, "")
+		switch {
+		case fail != nil && fail.Code == errs.TargetFailed && q.busy != nil:
+			return q.busy, nil // the target's own refusal is a whole answer
+		case fail != nil:
+			return nil, q.runState(fail)
+		case f == nil && !busyStatus(res.Status):
 			return res, nil
-		}
-		if f != nil && ctx.Err() != nil {
-			return nil, contextError(ctx).WithRun(runState(f))
-		}
-		written = written || f == nil || f.Written
-		if q.crashes >= maxCrashes {
-			fp := structs.Fingerprint{Digest: q.digest, ExpiresAt: time.Now().Add(quarantineTime).Unix()}
-			q.e.addFingerprint(ctx, fp)
-			return nil, quarantined(&fp).WithRun(errs.Ran)
-		}
-		if n < maxDispatches && q.e.allowRetry(ctx, q.svc.Pool()) {
+		case f != nil && ctx.Err() != nil:
+			return nil, q.runState(contextError(ctx).WithRun(runState(f)))
+		case q.crashes >= maxCrashes:
+			return nil, q.quarantine(ctx)
+		case q.e.mayRetry(q.svc.Pool(), n, q.exclude):
 			continue
+		case f == nil:
+			return res, nil
 		}
-		if f == nil {
-			return res, nil // the target's own refusal is a whole answer
-		}
-		return nil, q.failed(f, written)
+		return nil, q.runState(targetFailed(f))
 	}
 }
 
-func (q *plainRequest) failed(f *engine.Failure, written bool) *errs.Error {
-	e := targetFailed(f)
-	if written {
+// runState corrects e's claim that the request was not run if a target may have seen it.
+func (q *plainRequest) runState(e *errs.Error) *errs.Error {
+	if q.written && e.Run == errs.NotRun {
 		return e.WithRun(errs.RunUnknown)
 	}
 	return e
 }
 
+// quarantine records that the request crashes targets.
+func (q *plainRequest) quarantine(ctx context.Context) *errs.Error {
+	f := structs.Fingerprint{Digest: q.digest, ExpiresAt: time.Now().Add(quarantineTime).Unix()}
+	q.e.addFingerprint(ctx, f)
+	return quarantined(&f).WithRun(errs.Ran)
+}
+
 // busyStatus reports whether an answer tells that the target could not take the request.
 func busyStatus(status int) bool {
 	switch status {
@@ -203,7 +205,7 @@
 // attempt dispatches once. wait bounds the time in the queue, ctx the exchange with the
 // target. It returns a typed error if the request has not been dispatched, else the
 // target's answer or failure. callKey marks a call that may not be repeated.
-func (q *plainRequest) attempt(wait, ctx context.Context, n int, callKey string) (*engine.PlainReply, *engine.Failure, *errs.Error) {
+func (q *plainRequest) attempt(wait, ctx context.Context, callKey string) (*engine.PlainReply, *engine.Failure, *errs.Error) {
 	asg, fail := q.assign(wait)
 	if fail != nil {
 		return nil, nil, fail
@@ -229,15 +231,7 @@
 		Fresh:     callKey != "",
 	})
 	q.release(asg, plainOutcome(res, f), time.Since(start))
-	if n > 1 {
-		q.e.count(metricRetries)
-	}
-	if f != nil {
-		f.Target = asg.Target
-		q.note(asg, f)
-	} else {
-		res.Target = asg.Target
-	}
+	q.note(asg, res, f)
 	return res, f, nil
 }
 
@@ -268,7 +262,11 @@
 		if ctx.Err() != nil {
 			return nil, contextError(ctx).WithRun(errs.NotRun)
 		}
-		return nil, assignError(err)
+		e := assignError(err)
+		if e.Code == errs.TargetFailed && q.last != nil {
+			e = retryRefused(q.last, e.RetryAfter)
+		}
+		return nil, e
 	}
 	return asg, nil
 }
@@ -280,8 +278,20 @@
 	})
 }
 
-func (q *plainRequest) note(asg *structs.Assignment, f *engine.Failure) {
+func (q *plainRequest) note(asg *structs.Assignment, res *engine.PlainReply, f *engine.Failure) {
 	q.exclude = append(q.exclude, asg.Target)
+	q.last = f
+	if f == nil {
+		res.Target = asg.Target
+		q.written = true
+		if busyStatus(res.Status) {
+			q.busy = res
+		}
+		return
+	}
+	f.Target = asg.Target
+	q.written = q.written || f.Written
+	q.busy = nil
 	if f.Outcome == structs.OutcomeCrash {
 		q.crashes++
 	}
