dispatch: count crashes by digest for all entries at once

Cause: a request that crashes its target crashed 6 targets in a row of resends through 4 entries; each entry counted its own attempts, and the fingerprint was in force on the others only with their next poll. Ruled out: polling faster; a resend can always be quicker. Refusing after one crash; innocent requests on the same target would be refused with the culprit. Change: the scheduler counts crashes by digest and refuses the third dispatch; an entry tells a crash before it goes on; suspects never share a target. Conclusion: at most two targets are crashed, whoever resends.

--- a/dispatch/assign.go
+++ b/dispatch/assign.go
@@ -41,12 +41,18 @@
 		return nil, errs.New(errs.NoTarget, "add a target for it to the declaration",
 			"pool %s has no target", s.name).WithRetryAfter(noTargetRetry)
 	}
-	if len(req.Exclude) > 0 && !s.retries.take(now) {
+	if s.suspects.quarantined(now, req.Digest) {
+		return nil, quarantinedError(req.Digest)
+	}
+	if len(req.Exclude) > 0 && !s.retries.take(now, s.slotCount()) {
 		return nil, errs.New(errs.TargetFailed, "retry later", "the retry budget of pool %s is used up", s.name).
 			WithRun(errs.RunUnknown).WithRetryAfter(s.pool.RetryAfter(now))
 	}
 	w := &waiter{req: &sched.Request{AssignRequest: *req}, calls: 1, done: make(chan struct{})}
 	w.req.Data = w
+	if s.suspects.suspect(req.Digest) {
+		w.req.Avoid = s.suspects.running
+	}
 	s.requests[req.ID] = w
 	s.enqueue(now, w)
 	s.pump(now)
@@ -125,6 +131,9 @@
 		return err
 	}
 	s.seen(now, rel.Entry)
+	if _, late := s.released[rel.Slot]; !late {
+		s.noteCrash(now, rel)
+	}
 	s.released[rel.Slot] = now
 	slot := s.pool.Slot(rel.Slot)
 	if slot == nil || slot.Entry != rel.Entry {
--- a/dispatch/manager.go
+++ b/dispatch/manager.go
@@ -156,7 +156,7 @@
 	if err := s.ensureLeading(now); err != nil {
 		return false, err
 	}
-	return s.retries.allowed(now), nil
+	return s.retries.allowed(now, s.slotCount()), nil
 }
 
 // Status returns the targets of a pool, or of all pools that this member schedules if
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -3,7 +3,8 @@
 import "time"
 
 // The retry budget of a pool: retries in the last retryWindow may be at most retryShare
-// of its successes in that time, and minRetries in any case.
+// of its successes in that time. In any case minRetries and as many retries as the pool
+// has slots are allowed, so that all that ran in a lost zone can run again elsewhere.
 const (
 	retryWindow  = 10 * time.Second
 	retryBuckets = 10
@@ -35,7 +36,7 @@
 func (b *retryBudget) success(now time.Duration) { b.bucket(now).successes++ }
 
 // allowed reports whether a retry fits the budget now.
-func (b *retryBudget) allowed(now time.Duration) bool {
+func (b *retryBudget) allowed(now time.Duration, slots int) bool {
 	oldest := epochOf(now) - retryBuckets
 	successes, retries := 0, 0
 	for _, k := range b.buckets {
@@ -44,12 +45,12 @@
 			retries += k.retries
 		}
 	}
-	return float64(retries+1) <= max(minRetries, retryShare*float64(successes))
+	return float64(retries+1) <= max(minRetries, float64(slots), retryShare*float64(successes))
 }
 
 // take counts a retry if it fits the budget.
-func (b *retryBudget) take(now time.Duration) bool {
-	if !b.allowed(now) {
+func (b *retryBudget) take(now time.Duration, slots int) bool {
+	if !b.allowed(now, slots) {
 		return false
 	}
 	b.bucket(now).retries++
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -31,6 +31,7 @@
 	released  map[string]time.Duration // time of release by slot
 	slotSeq   uint64
 	retries   retryBudget
+	suspects  suspects
 	topo      *Topology
 	hosts     *hostStates
 	checkedAt time.Duration
@@ -52,6 +53,8 @@
 type slotMeta struct {
 	request string
 	missing int // consecutive reports that did not name the slot
+	// suspectOn is the target of a request that has crashed another one.
+	suspectOn string
 }
 
 type entryState struct {
@@ -98,6 +101,7 @@
 	s.entries = map[string]*entryState{}
 	s.released = map[string]time.Duration{}
 	s.retries = retryBudget{}
+	s.suspects = newSuspects()
 	s.topo, s.hosts = nil, nil
 	s.pollers = map[string]*poller{}
 	s.syncConfig(now)
@@ -158,6 +162,10 @@
 			return
 		}
 		s.slots[slot.ID] = &slotMeta{request: req.ID}
+		if req.Avoid != nil {
+			s.slots[slot.ID].suspectOn = slot.Target.Name
+			s.suspects.occupy(slot.Target.Name)
+		}
 		w := req.Data.(*waiter)
 		w.assignment = &structs.Assignment{
 			Slot:    slot.ID,
@@ -195,6 +203,7 @@
 	s.orphan(now)
 	s.pool.Expire(now)
 	s.forgetReleased(now)
+	s.suspects.expire(now)
 	s.refuseHopeless(now)
 	s.syncPollers()
 	s.dropStaleMeta()
@@ -211,6 +220,9 @@
 
 func (s *shard) forget(slot string, m *slotMeta) {
 	delete(s.slots, slot)
+	if m.suspectOn != "" {
+		s.suspects.vacate(m.suspectOn)
+	}
 	if m.request != "" {
 		delete(s.requests, m.request)
 	}
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -161,6 +161,7 @@
 		Prefix:       g.prefix.hashes,
 		PrefixTokens: g.prefix.tokens,
 		Exclude:      g.exclude,
+		Digest:       g.digest,
 	}
 	if t.svc.Deadline > 0 {
 		req.Deadline = max(t.svc.Deadline-req.ProgramAge, time.Millisecond)
@@ -176,6 +177,9 @@
 		if e.Code == errs.TargetFailed && g.last != nil {
 			e = retryRefused(g.last, e.RetryAfter)
 		}
+		if e.Code == errs.RequestQuarantined {
+			t.e.addFingerprint(ctx, g.digest)
+		}
 		return nil, g.runState(e)
 	}
 	return asg, nil
@@ -279,6 +283,7 @@
 		Slot:     asg.Slot,
 		Target:   asg.Target,
 		Outcome:  o,
+		Digest:   crashDigest(o, g.digest),
 		TTFT:     res.TTFT,
 		Duration: res.Duration,
 		Usage:    res.Usage,
@@ -336,13 +341,16 @@
 
 // quarantine records that the request crashes targets.
 func (g *generation) quarantine(ctx context.Context) *errs.Error {
-	f := structs.Fingerprint{Digest: g.digest, ExpiresAt: time.Now().Add(quarantineTime).Unix()}
-	g.t.e.addFingerprint(ctx, f)
-	return quarantined(&f).WithRun(errs.Ran)
+	g.t.e.addFingerprint(ctx, g.digest)
+	return quarantined(&structs.Fingerprint{Digest: g.digest}).WithRun(errs.Ran)
 }
 
-// addFingerprint records a fingerprint in the background.
-func (e *Entry) addFingerprint(ctx context.Context, f structs.Fingerprint) {
+// addFingerprint records in the background that requests with a digest crash targets.
+func (e *Entry) addFingerprint(ctx context.Context, digest string) {
+	if _, known := e.config.snapshot().quarantined(digest, time.Now()); known {
+		return
+	}
+	f := structs.Fingerprint{Digest: digest, ExpiresAt: time.Now().Add(quarantineTime).Unix()}
 	e.count(metricQuarantine)
 	e.background(func() {
 		cctx, cancel := e.commitContext(ctx)
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -181,9 +181,8 @@
 
 // quarantine records that the request crashes targets.
 func (q *plainRequest) quarantine(ctx context.Context) *errs.Error {
-	f := structs.Fingerprint{Digest: q.digest, ExpiresAt: time.Now().Add(quarantineTime).Unix()}
-	q.e.addFingerprint(ctx, f)
-	return quarantined(&f).WithRun(errs.Ran)
+	q.e.addFingerprint(ctx, q.digest)
+	return quarantined(&structs.Fingerprint{Digest: q.digest}).WithRun(errs.Ran)
 }
 
 // busyStatus reports whether an answer tells that the target could not take the request.
@@ -254,6 +253,7 @@
 		Service: q.svc.Name,
 		Class:   q.svc.Class,
 		Exclude: q.exclude,
+		Digest:  q.digest,
 	}
 	start := time.Now()
 	asg, err := q.e.sched.Assign(ctx, req)
@@ -266,6 +266,9 @@
 		if e.Code == errs.TargetFailed && q.last != nil {
 			e = retryRefused(q.last, e.RetryAfter)
 		}
+		if e.Code == errs.RequestQuarantined {
+			q.e.addFingerprint(ctx, q.digest)
+		}
 		return nil, e
 	}
 	return asg, nil
@@ -275,6 +278,7 @@
 	q.e.countOutcome(o)
 	q.e.release(structs.ReleaseSlot{
 		Pool: q.svc.Pool(), Entry: q.e.incarn, Slot: asg.Slot, Target: asg.Target, Outcome: o, Duration: d,
+		Digest: crashDigest(o, q.digest),
 	})
 }
 
--- a/internal/testsite/operate.go
+++ b/internal/testsite/operate.go
@@ -43,8 +43,12 @@
 			i+1, s.zone(i), i+1, i+1, addr, s.opts.Slots, s.opts.ColdSlots)
 	}
 	for i, addr := range s.OrderAddrs {
-		fmt.Fprintf(&o, "[host svc-%d]\nzone = %s\n[target order-%d]\nhost = svc-%d\naddress = %s\nservice = orders\nslots = 64\ncold_slots = 64\n",
-			i+1, s.zone(i), i+1, i+1, addr)
+		service := "orders"
+		if s.opts.Catalogue && i == len(s.OrderAddrs)-1 {
+			service = "catalogue"
+		}
+		fmt.Fprintf(&o, "[host svc-%d]\nzone = %s\n[target order-%d]\nhost = svc-%d\naddress = %s\nservice = %s\nslots = 64\ncold_slots = 64\n",
+			i+1, s.zone(i), i+1, i+1, addr, service)
 	}
 	return b.String(), o.String()
 }
--- a/internal/testsite/site.go
+++ b/internal/testsite/site.go
@@ -21,6 +21,9 @@
 	Engines int
 	Orders  int
 	Groups  int
+	// Catalogue makes the last order stand-in serve the plain service "catalogue", which
+	// Organisations must declare.
+	Catalogue bool
 	// Zones of hosts, members and entries, which are spread over them in turn.
 	Zones []string
 	// Organisations is text appended to the base file; empty: one organisation "acme"
--- a/sched/fair.go
+++ b/sched/fair.go
@@ -140,7 +140,7 @@
 	p.scores = p.scores[:0]
 	var lowest time.Duration
 	for _, t := range v.Targets {
-		if t.Free(v.Now) <= 0 || r.excludes(t.Name) {
+		if t.Free(v.Now) <= 0 || r.blocked(t.Name) {
 			continue
 		}
 		s := score{target: t, value: v.completion(r, t, held[t])}
@@ -198,7 +198,7 @@
 func (p *Fair) worthWaiting(v *View, r *Request, held map[*Target]int64, elsewhere time.Duration) (score, bool) {
 	var best score
 	for t, tokens := range held {
-		if t.Limit(v.Now) == 0 || t.Free(v.Now) > 0 || r.excludes(t.Name) || r.parkedTo > 0 {
+		if t.Limit(v.Now) == 0 || t.Free(v.Now) > 0 || r.blocked(t.Name) || r.parkedTo > 0 {
 			continue
 		}
 		wait, ok := t.waitFor(v.Now, t.parked)
--- a/sched/types.go
+++ b/sched/types.go
@@ -14,6 +14,9 @@
 	Enqueued time.Duration
 	// Data belongs to the caller.
 	Data any
+	// Avoid counts by target what keeps the request off it for now; nil: nothing. It
+	// belongs to the caller, who changes it between decisions.
+	Avoid map[string]int
 
 	seq      uint64
 	due      time.Duration // place in the order within the organisation
@@ -38,6 +41,9 @@
 	return false
 }
 
+// blocked reports whether the request may not go to target name now.
+func (r *Request) blocked(name string) bool { return r.excludes(name) || r.Avoid[name] > 0 }
+
 // weight returns the organisation's weight, at least 1.
 func (r *Request) weight() float64 { return float64(max(r.Weight, 1)) }
 
--- a/structs/sched.go
+++ b/structs/sched.go
@@ -30,6 +30,8 @@
 	PrefixTokens []int64 `msgpack:"h,omitempty"`
 	// Exclude lists targets that have failed this request.
 	Exclude []string `msgpack:"x,omitempty"`
+	// Digest identifies the request's content, to find requests that crash targets.
+	Digest string `msgpack:"u,omitempty"`
 }
 
 // Assignment gives a request a slot on a target.
@@ -56,6 +58,8 @@
 
 // ReleaseSlot gives a slot back.
 type ReleaseSlot struct {
+	// Digest is the request's, set with OutcomeCrash.
+	Digest  string  `msgpack:"g,omitempty"`
 	Pool    string  `msgpack:"l"`
 	Entry   string  `msgpack:"e"`
 	Slot    string  `msgpack:"s"`
