sched: keep a cold target at its limit until its first report may have come

Ruled out: orphaned slots of the old scheduler; entries report them at once. Change: good answers raise the limit only after a report has said 'warm', or 2 s after the last sign of a cold start for targets that never report, or 1 min after the last report. Tests of limits now let those 2 s pass first, and two specs were added for the time before and after the reports.

--- a/sched/target.go
+++ b/sched/target.go
@@ -24,6 +24,11 @@
 	maxProbeDelay = 10 * time.Second
 	// reportTTL is the age at which a load report stops being used.
 	reportTTL = 5 * time.Second
+	// firstReportWait is how long a target that has never reported is kept at its limit,
+	// because its first report may still come; plain services may have no reports.
+	firstReportWait = 2 * time.Second
+	// silentReportWait is the same for a target whose reports have stopped coming.
+	silentReportWait = time.Minute
 	// reportSkew is the tolerance in matching a report's time with own assignments: a
 	// request needs some time to reach the target.
 	reportSkew = 50 * time.Millisecond
@@ -74,6 +79,8 @@
 
 	report   LoadReport
 	reported bool
+	// lastReport is when the newest report came, 0 if there was none.
+	lastReport time.Duration
 	external int  // requests on the target that are not in this account
 	speed    ewma // time per token relative to the pool's
 	// prefillDone is the estimated time at which the prompts of all slots are computed.
@@ -164,7 +171,7 @@
 		t.down = false
 		t.setCold(now)
 	}
-	if t.limit >= t.maxSlots() || !t.mayGrow() {
+	if t.limit >= t.maxSlots() || !t.mayGrow(now) {
 		return
 	}
 	t.good++
@@ -175,9 +182,17 @@
 	t.limit++
 }
 
-// mayGrow tells whether good answers raise the limit. A target that reports its load
-// must first have said that it is warm.
-func (t *Target) mayGrow() bool { return !t.reported || t.reportedWarm() }
+// mayGrow tells whether good answers raise the limit. A target that reports its load must
+// first have said that it is warm: short answers come back in time from a cold one as well.
+func (t *Target) mayGrow(now time.Duration) bool {
+	switch {
+	case t.reportedWarm():
+		return true
+	case t.lastReport > 0:
+		return now-t.lastReport > silentReportWait
+	}
+	return now-t.coldSince >= firstReportWait
+}
 
 // growthStep is the number of good answers that raise the limit by one: a full round of
 // the slots, or one answer if the target itself says that it is warm.
@@ -228,6 +243,7 @@
 		t.setCold(r.At)
 	}
 	t.report, t.reported = r, true
+	t.lastReport = now
 	t.prune(now)
 	t.external = max(0, r.Running+r.Waiting-t.mostOwn(r.At))
 	if t.assumedCold && t.reportedWarm() {
--- a/sched/target_test.go
+++ b/sched/target_test.go
@@ -29,6 +29,7 @@
 var _ = DescribeTable("limit of a target with 8 slots, 2 when cold",
 	func(outcomes []structs.Outcome, wantLimit int, wantState State) {
 		p := newTestPool(NewFair(), 1, 8, 2)
+		p.now += firstReportWait // a target without reports
 		for _, o := range outcomes {
 			p.enqueue(structs.AssignRequest{Org: "o"})
 			s := p.next()
@@ -87,6 +88,29 @@
 		Expect(p.target(0).Limit(p.now)).To(Equal(2))
 	})
 
+	// A new scheduler raised the limit of a cold target by its short answers, before the
+	// target's first report had come.
+	It("keeps to the cold limit until the first report may have come", func() {
+		p := newTestPool(NewFair(), 1, 8, 2)
+		for range 40 {
+			p.enqueue(structs.AssignRequest{Org: "o"})
+			p.finish(p.next(), ok)
+		}
+		Expect(p.target(0).Limit(p.now)).To(Equal(2))
+	})
+
+	It("keeps to its limit when the reports of a cold target stop", func() {
+		p := newTestPool(NewFair(), 1, 8, 2)
+		p.Load(p.now, "t0", LoadReport{Cold: true, At: p.now})
+		p.now += reportTTL + firstReportWait
+		p.Expire(p.now)
+		for range 10 {
+			p.enqueue(structs.AssignRequest{Org: "o"})
+			p.finish(p.next(), ok)
+		}
+		Expect(p.target(0).Limit(p.now)).To(Equal(2))
+	})
+
 	It("does not trust a report from before the sign of a cold start", func() {
 		p := newTestPool(NewFair(), 1, 8, 2)
 		p.enqueue(structs.AssignRequest{Org: "o"})
@@ -101,6 +125,7 @@
 
 	It("falls back to cold when a first token is far later than estimated", func() {
 		p := newTestPool(NewFair(), 1, 4, 1)
+		p.now += firstReportWait
 		for range 30 {
 			p.enqueue(structs.AssignRequest{Org: "o", PromptTokens: 100})
 			p.finish(p.next(), ok)
