--- a/raft/core.go
+++ b/raft/core.go
@@ -59,6 +59,7 @@
 	commit   uint64
 	emitted  uint64 // last index put into Output.Committed
 	verified bool
+	floor    Position // see SetVerified
 	stale    bool
 
 	electionDue time.Duration
@@ -289,15 +290,17 @@
 
 // Status is a view of a core for drivers and operators.
 type Status struct {
-	Role      Role
-	Term      uint64
-	Leader    Peer
-	Commit    uint64
-	Last      uint64
-	TermStart uint64 // of a leader: the first index of its term
-	Config    Config
-	Pending   bool // the configuration is not committed yet
-	Verified  bool
+	Role   Role
+	Term   uint64
+	Leader Peer
+	Commit uint64
+	// CommitTerm is the term of the entry at Commit.
+	CommitTerm uint64
+	Last       uint64
+	TermStart  uint64 // of a leader: the first index of its term
+	Config     Config
+	Pending    bool // the configuration is not committed yet
+	Verified   bool
 	// Progress is filled on leaders.
 	Progress map[Peer]Progress
 }
@@ -315,6 +318,7 @@
 		TermStart: c.termStart, Config: c.config(), Pending: c.configAt().index > c.commit,
 		Verified: c.verified,
 	}
+	s.CommitTerm, _ = c.log.term(c.commit)
 	if c.role != Leader {
 		return s
 	}
@@ -327,5 +331,8 @@
 
 // Brief returns the status without the configuration and the progress of members.
 func (c *Core) Brief() Status {
-	return Status{Role: c.role, Term: c.term, Leader: c.leader, Commit: c.commit, TermStart: c.termStart}
+	return Status{
+		Role: c.role, Term: c.term, Leader: c.leader, Commit: c.commit, TermStart: c.termStart,
+		Verified: c.verified,
+	}
 }
--- a/raft/election.go
+++ b/raft/election.go
@@ -12,8 +12,12 @@
 	return len(v) == 1 && v[0] == c.opt.Self
 }
 
+// mayCampaign reports whether this member may stand for election. A member whose removal is
+// in its log but not committed stands too: the others may need its log to go on.
 func (c *Core) mayCampaign() bool {
-	return c.verified && c.config().IsVoter(c.opt.Self)
+	end := Position{Term: c.log.lastTerm(), Index: c.log.last()}
+	voter := c.config().IsVoter(c.opt.Self) || c.configFor(c.commit).IsVoter(c.opt.Self)
+	return c.verified && voter && !end.Before(c.floor)
 }
 
 // inLease reports whether a leader may hold a lease that this member has confirmed.
@@ -73,8 +77,14 @@
 	return n >= c.config().Quorum()
 }
 
+// mayElect reports whether the candidate's log is complete enough.
+func (c *Core) mayElect(m Message) bool {
+	end := Position{Term: m.LogTerm, Index: m.Index}
+	return c.verified && c.log.upToDate(m.Index, m.LogTerm) && !end.Before(c.floor)
+}
+
 func (c *Core) handlePreVote(m Message) {
-	grant := c.verified && !c.inLease() && m.Term > c.term && c.log.upToDate(m.Index, m.LogTerm)
+	grant := m.Term > c.term && !c.inLease() && c.mayElect(m)
 	reply := Message{Type: MsgPreVoteReply, To: m.From, Reject: !grant}
 	if grant {
 		reply.Term = m.Term
@@ -97,7 +107,7 @@
 	if !m.Transfer && c.inLease() {
 		free = false
 	}
-	grant := c.verified && free && c.role == Follower && c.leader == Peer{} && c.log.upToDate(m.Index, m.LogTerm)
+	grant := free && c.role == Follower && c.leader == Peer{} && c.mayElect(m)
 	if grant {
 		c.vote = m.From
 		c.resetElectionTimer()
@@ -138,15 +148,29 @@
 	}
 }
 
+// Position is the place of an entry in the log. Positions are ordered by term, then index.
+type Position struct {
+	Term  uint64
+	Index uint64
+}
+
+// Before reports whether p precedes q.
+func (p Position) Before(q Position) bool {
+	return p.Term < q.Term || (p.Term == q.Term && p.Index < q.Index)
+}
+
 // SetVerified allows the core to vote: its directory has been compared with the records of
-// other members. It casts no vote in its own term or in one that they have reported, because
-// it may have voted in that term before its directory went back.
-func (c *Core) SetVerified(now Time, reportedTerm uint64) {
+// other members, of which the largest term and the last committed position are passed. The
+// core casts no vote in its own term or in the reported one, because it may have voted in
+// that term before its directory went back. It elects no member, itself included, whose log
+// ends before the committed position, because it may have acknowledged that entry.
+func (c *Core) SetVerified(now Time, reportedTerm uint64, committed Position) {
 	c.advance(now)
 	if c.verified {
 		return
 	}
 	c.verified = true
+	c.floor = committed
 	if reportedTerm > c.term {
 		c.becomeFollower(reportedTerm, Peer{})
 	}
--- a/raft/follower.go
+++ b/raft/follower.go
@@ -51,7 +51,10 @@
 	}
 	if !c.log.matches(m.Index, m.LogTerm) {
 		hint := c.log.conflictHint(m.Index, m.LogTerm)
-		c.sendAfterSync(Message{Type: MsgAppendReply, To: m.From, Index: m.Index, Reject: true, Hint: hint})
+		hintTerm, _ := c.log.term(hint)
+		c.sendAfterSync(Message{
+			Type: MsgAppendReply, To: m.From, Index: m.Index, Reject: true, Hint: hint, LogTerm: hintTerm,
+		})
 		return
 	}
 	c.appendNew(m.Entries)
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -117,10 +117,21 @@
 	}
 }
 
+// sendLimit returns the last entry that a member may get. A learner gets committed entries
+// only. With a longer log it could refuse its vote to a member that counts it as a voter
+// already, while it may not stand for election itself, and the group would be stuck.
+func (c *Core) sendLimit(p Peer) uint64 {
+	if c.config().IsVoter(p) {
+		return c.log.last()
+	}
+	return c.commit
+}
+
 // replicate sends what a member lacks, within the limit of messages under way.
 func (c *Core) replicate(p Peer) {
 	pr := c.progress[p]
-	for pr.next <= c.log.last() && c.maySend(pr) {
+	limit := c.sendLimit(p)
+	for pr.next <= limit && c.maySend(pr) {
 		if !c.sendAppend(p, pr) {
 			return
 		}
@@ -145,7 +156,7 @@
 		c.startSnapshot(p, pr)
 		return false
 	}
-	es := c.log.slice(pr.next, c.log.last(), c.opt.MaxAppendBytes)
+	es := c.log.slice(pr.next, c.sendLimit(p), c.opt.MaxAppendBytes)
 	c.send(Message{
 		Type: MsgAppend, To: p, Index: prev, LogTerm: prevTerm, Entries: es,
 		Commit: c.commit, Stamp: c.LogTime(c.now), Acked: pr.match,
@@ -213,7 +224,8 @@
 	if pr.state == probing && m.Index != pr.next-1 {
 		return
 	}
-	next := max(pr.match, min(m.Hint, m.Index-1)) + 1
+	hint := c.log.conflictHint(min(m.Hint, m.Index-1), m.LogTerm)
+	next := max(pr.match, hint) + 1
 	c.probeFrom(m.From, pr, next)
 }
 
@@ -240,7 +252,7 @@
 
 // resendIfStuck repairs the loss of an append, a snapshot chunk or their replies.
 func (c *Core) resendIfStuck(p Peer, pr *progress) {
-	if pr.match >= c.log.last() || c.now-pr.movedAt < resendAfter {
+	if pr.match >= c.sendLimit(p) || c.now-pr.movedAt < resendAfter {
 		return
 	}
 	if pr.state == sendingSnapshot {
@@ -271,12 +283,24 @@
 	if index < c.termStart {
 		return
 	}
+	if index <= c.commit {
+		return
+	}
 	c.commitTo(index)
+	c.replicateToLearners()
 	if cfg := c.configAt(); cfg.index <= c.commit && !cfg.config.IsVoter(c.opt.Self) {
 		c.stepDownAfterRemoval()
 	}
 }
 
+func (c *Core) replicateToLearners() {
+	for _, m := range c.config().Members {
+		if !m.Voter && m.Peer != c.opt.Self {
+			c.replicate(m.Peer)
+		}
+	}
+}
+
 // stepDownAfterRemoval ends the leadership of a member whose removal is committed. The
 // others learn of the commit first.
 func (c *Core) stepDownAfterRemoval() {
--- a/raft/log.go
+++ b/raft/log.go
@@ -74,8 +74,9 @@
 	l.baseIndex, l.baseTerm, l.entries = index, term, nil
 }
 
-// conflictHint returns the last index at or before max whose term is at most term. A
-// leader that retries from it skips a whole conflicting term in one round.
+// conflictHint returns the last index at or before max whose term is at most term. Both
+// sides skip a whole conflicting term with it, so that the search for the point where two
+// logs agree takes a round per term and not one per entry.
 func (l *entryLog) conflictHint(max, term uint64) uint64 {
 	max = min(max, l.last())
 	if max <= l.baseIndex {
--- a/raft/types.go
+++ b/raft/types.go
@@ -99,7 +99,8 @@
 	Seq    uint64
 	SentAt time.Duration
 	Reject bool
-	// Hint is the index from which a leader retries after a rejected append.
+	// Hint is the last index at which the logs may agree after a rejected append; LogTerm
+	// is the term of the follower's entry there.
 	Hint uint64
 	// Transfer marks the election of a member to which the leader handed over; it is
 	// exempt from the lease.
--- a/replica/bootstrap.go
+++ b/replica/bootstrap.go
@@ -42,7 +42,7 @@
 	without = 1
 	for _, p := range r.peers {
 		if _, ok := p.known(helloTimeout); !ok {
-			r.callHello(ctx, p)
+			r.callHello(ctx, p, false)
 		}
 		info, ok := p.known(helloTimeout)
 		if !ok {
--- a/replica/hello.go
+++ b/replica/hello.go
@@ -20,10 +20,11 @@
 // helloTimeout is the time after which a connection that answers nothing is replaced.
 const helloTimeout = time.Second
 
-// helloRequest asks a member for its identity and, for the sender's directory, what it has
-// recorded of it.
+// helloRequest asks a member for its identity. With Verify set it also asks what the member
+// has recorded of the sender's directory.
 type helloRequest struct {
 	Sender raft.Peer
+	Verify bool
 }
 
 type helloReply struct {
@@ -35,12 +36,13 @@
 // helloGroup is the state of one group at the answering member. Acked is the index that it
 // has recorded as acknowledged by the sender, if it leads the group.
 type helloGroup struct {
-	Group uint32
-	Term  uint64
-	Acked uint64
+	Group     uint32
+	Term      uint64
+	Acked     uint64
+	Committed raft.Position
 }
 
-func (r *Replica) handleHello(_ context.Context, body []byte) (any, error) {
+func (r *Replica) handleHello(ctx context.Context, body []byte) (any, error) {
 	var req helloRequest
 	if err := msgpack.Unmarshal(body, &req); err != nil {
 		return nil, errs.New(errs.BadRequest, "upgrade the peer", "hello: %v", err)
@@ -49,20 +51,26 @@
 	if inc == nil {
 		return nil, errs.New(errs.Unavailable, "retry later", "member %s is starting", r.cfg.ID)
 	}
-	return inc.hello(req), nil
+	return inc.hello(ctx, req)
 }
 
-func (inc *incarnation) hello(req helloRequest) helloReply {
+func (inc *incarnation) hello(ctx context.Context, req helloRequest) (helloReply, error) {
 	reply := helloReply{Self: inc.self, Cluster: inc.cluster.Load()}
+	if !req.Verify {
+		return reply, nil
+	}
 	for id, g := range inc.groups {
-		st := g.status.Load()
-		hg := helloGroup{Group: id, Term: st.Term}
+		var st raft.Status
+		if err := g.do(ctx, func(_ raft.Time, core *raft.Core) { st = core.Status() }); err != nil {
+			return reply, err
+		}
+		hg := helloGroup{Group: id, Term: st.Term, Committed: raft.Position{Term: st.CommitTerm, Index: st.Commit}}
 		if st.Role == raft.Leader {
 			hg.Acked = st.Progress[req.Sender].Match
 		}
 		reply.Groups = append(reply.Groups, hg)
 	}
-	return reply
+	return reply, nil
 }
 
 // probe asks a member for its identity at intervals, which also tests the connection.
@@ -70,7 +78,7 @@
 	t := time.NewTicker(r.cfg.HelloInterval)
 	defer t.Stop()
 	for {
-		r.callHello(ctx, p)
+		r.callHello(ctx, p, false)
 		select {
 		case <-ctx.Done():
 			return
@@ -79,7 +87,7 @@
 	}
 }
 
-func (r *Replica) callHello(ctx context.Context, p *peer) (helloReply, bool) {
+func (r *Replica) callHello(ctx context.Context, p *peer, verify bool) (helloReply, bool) {
 	inc := r.incarnation()
 	if inc == nil {
 		return helloReply{}, false
@@ -88,7 +96,7 @@
 	defer cancel()
 	client := p.conn()
 	var reply helloReply
-	err := client.Call(callCtx, methodHello, helloRequest{Sender: inc.self}, &reply)
+	err := client.Call(callCtx, methodHello, helloRequest{Sender: inc.self, Verify: verify}, &reply)
 	if err != nil {
 		if callCtx.Err() != nil && ctx.Err() == nil {
 			p.reset(client)
--- a/replica/verify.go
+++ b/replica/verify.go
@@ -46,7 +46,7 @@
 	answers := make(chan helloReply, len(inc.r.peers))
 	for _, p := range inc.r.peers {
 		go func() {
-			reply, ok := inc.r.callHello(ctx, p)
+			reply, ok := inc.r.callHello(ctx, p, true)
 			if !ok || reply.Cluster != inc.cluster.Load() {
 				reply = helloReply{}
 			}
@@ -70,6 +70,7 @@
 		st := core.Status()
 		verified = st.Verified
 		others, term := 0, uint64(0)
+		var committed raft.Position
 		for _, reply := range replies {
 			hg, ok := reply.group(g.id)
 			if !ok {
@@ -83,10 +84,13 @@
 				others++
 			}
 			term = max(term, hg.Term)
+			if committed.Before(hg.Committed) {
+				committed = hg.Committed
+			}
 		}
 		needed := st.Config.Quorum() - 1
 		if !verified && others >= needed && (complete || needed == 0) {
-			core.SetVerified(now, term)
+			core.SetVerified(now, term, committed)
 			verified = true
 		}
 	})
