--- a/wal/open.go
+++ b/wal/open.go
@@ -209,6 +209,9 @@
 		return
 	}
 	g.mark = m
+	if len(g.Entries) > 0 && g.Entries[0].Index > m.Index {
+		return // a later mark covers what is in removed segments, or check reports it
+	}
 	for i, e := range g.Entries {
 		if e.Index == m.Index && e.Term == m.Term {
 			g.Entries = g.Entries[i+1:]
@@ -218,22 +221,39 @@
 	g.Entries = nil
 }
 
+// applyEntries adds entries. The first one may lie beyond the mark: the entries between are
+// in removed segments, and the mark of the snapshot that covers them comes later.
 func (g *GroupState) applyEntries(es []raft.Entry) error {
 	for _, e := range es {
 		if e.Index <= g.mark.Index {
 			continue
 		}
-		pos := e.Index - g.mark.Index - 1
+		if len(g.Entries) == 0 || e.Index < g.Entries[0].Index {
+			g.Entries = append(g.Entries[:0], e)
+			continue
+		}
+		pos := e.Index - g.Entries[0].Index
 		if pos > uint64(len(g.Entries)) {
-			return errors.Errorf("entry %d follows entry %d", e.Index, g.mark.Index+uint64(len(g.Entries)))
+			return errors.Errorf("entry %d follows entry %d", e.Index, g.Entries[len(g.Entries)-1].Index)
 		}
 		g.Entries = append(g.Entries[:pos], e)
 	}
 	return nil
 }
 
+// check reports entries that are missing between the snapshot and the log.
+func (g *GroupState) check() error {
+	if len(g.Entries) > 0 && g.Entries[0].Index != g.mark.Index+1 {
+		return errors.Errorf("entry %d follows entry %d", g.Entries[0].Index, g.mark.Index)
+	}
+	return nil
+}
+
 func (l *Log) loadSnapshots(groups map[uint32]*GroupState) error {
 	for id, g := range groups {
+		if err := g.check(); err != nil {
+			return damaged(filepath.Join(l.dir, segmentDir), errors.Wrapf(err, "group %d", id))
+		}
 		if g.mark.Index == 0 {
 			continue
 		}
