Check linearizability of a replicated register under faults

Eight clients write and read at random members of five while leaders are cut off silently, frozen, killed and wiped; porcupine checks the history.

--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -75,8 +75,23 @@
 	dir    string
 	links  map[string]*relay // to the other members
 	server *wire.Server
-	r      *Replica
-	sm     *logMachine
+
+	mu sync.Mutex // guards r and sm where clients run during restarts
+	r  *Replica
+	sm *logMachine
+}
+
+// current returns the running replica, nil if there is none, and its state machine.
+func (nd *node) current() (*Replica, *logMachine) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return nd.r, nd.sm
+}
+
+func (nd *node) set(r *Replica, sm *logMachine) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	nd.r, nd.sm = r, sm
 }
 
 // cluster is a set of members in this process, connected through relays.
@@ -136,10 +151,10 @@
 			l.setTarget(srv.Addr())
 		}
 	}
-	nd.server, nd.sm = srv, &logMachine{}
+	sm := &logMachine{}
 	cfg := Config{
 		ID: nd.id, DataDir: nd.dir, Server: srv, Log: nd.c.log.WithName(nd.id),
-		Groups:    map[uint32]StateMachine{testGroup: nd.sm},
+		Groups:    map[uint32]StateMachine{testGroup: sm},
 		Bootstrap: nd.id == "m0", HelloInterval: 100 * time.Millisecond,
 	}
 	for _, other := range nd.c.nodes {
@@ -152,8 +167,10 @@
 	if nd.c.adjust != nil {
 		nd.c.adjust(&cfg)
 	}
-	nd.r, err = Start(cfg)
+	r, err := Start(cfg)
 	Expect(err).NotTo(HaveOccurred())
+	nd.server = srv
+	nd.set(r, sm)
 	go srv.Serve()
 }
 
@@ -162,7 +179,7 @@
 	if nd.r != nil {
 		_ = nd.r.Close()
 		nd.server.Close()
-		nd.r = nil
+		nd.set(nil, nd.sm)
 	}
 }
 
@@ -170,7 +187,7 @@
 func (nd *node) kill() {
 	_ = nd.r.shutdown(true)
 	nd.server.Close()
-	nd.r = nil
+	nd.set(nil, nd.sm)
 }
 
 func (nd *node) wipe() { Expect(os.RemoveAll(nd.dir)).To(Succeed()) }
--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -214,11 +214,13 @@
 
 const frozenFor = 3 * time.Second
 
-// freeze stops the group's loop, as a stopped process would.
-func freeze(nd *node) {
+func freeze(nd *node) { freezeFor(nd, frozenFor) }
+
+// freezeFor stops the group's loop, as a stopped process would.
+func freezeFor(nd *node, d time.Duration) {
 	g := nd.r.incarnation().groups[testGroup]
 	g.add(func(in *inbox) {
-		in.calls = append(in.calls, func(raft.Time, *raft.Core) { time.Sleep(frozenFor) })
+		in.calls = append(in.calls, func(raft.Time, *raft.Core) { time.Sleep(d) })
 	})
 }
 
--- /dev/null
+++ b/replica/linear_test.go
@@ -0,0 +1,148 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/figlb/figlb/errs"
+)
+
+// registerOp is a write of a value or, with an empty value, a read.
+type registerOp struct{ write string }
+
+// registerModel is a register. A write whose outcome is open may take effect at any time
+// after its call.
+var registerModel = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		if w := input.(registerOp).write; w != "" {
+			return true, w
+		}
+		return output.(string) == state.(string), state
+	},
+}
+
+// history collects the operations of concurrent clients.
+type history struct {
+	mu    sync.Mutex
+	began time.Time
+	ops   []porcupine.Operation
+}
+
+func (h *history) now() int64 { return int64(time.Since(h.began)) }
+
+func (h *history) add(client int, op registerOp, call int64, out string, ret int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: op, Call: call, Output: out, Return: ret})
+}
+
+const clientTimeout = time.Second
+
+// clients run operations against random members, not only leaders, until stop is closed.
+func (c *cluster) clients(n int, h *history, nodes []*node, stop chan struct{}) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	for id := range n {
+		wg.Go(func() {
+			defer GinkgoRecover()
+			rng := rand.New(rand.NewSource(GinkgoRandomSeed() + int64(id)))
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Duration(rng.Intn(10)) * time.Millisecond):
+				}
+				nd := nodes[rng.Intn(len(nodes))]
+				if rng.Intn(2) == 0 {
+					h.write(id, nd, fmt.Sprintf("%d-%d", id, i))
+				} else {
+					h.read(id, nd)
+				}
+			}
+		})
+	}
+	return &wg
+}
+
+func (h *history) write(client int, nd *node, value string) {
+	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+	defer cancel()
+	r, _ := nd.current()
+	if r == nil {
+		return
+	}
+	call := h.now()
+	_, err := r.Propose(ctx, testGroup, []byte(value))
+	switch {
+	case err == nil:
+		h.add(client, registerOp{write: value}, call, "", h.now())
+	case !errs.Is(err, errs.NotLeader):
+		h.add(client, registerOp{write: value}, call, "", int64(time.Hour))
+	}
+}
+
+func (h *history) read(client int, nd *node) {
+	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+	defer cancel()
+	r, sm := nd.current()
+	if r == nil {
+		return
+	}
+	call := h.now()
+	if r.ReadIndex(ctx, testGroup) == nil {
+		h.add(client, registerOp{}, call, sm.last(), h.now())
+	}
+}
+
+var _ = Describe("a register under faults", func() {
+	It("is linearizable (guards against stale reads and lost or repeated writes)", func() {
+		c := startCluster(5, func(cfg *Config) { cfg.SnapshotEntries, cfg.RetainEntries = 200, 20 })
+		h := &history{began: time.Now()}
+		stop := make(chan struct{})
+		wg := c.clients(8, h, c.nodes, stop)
+		rng := rand.New(rand.NewSource(GinkgoRandomSeed()))
+		for round := range 6 {
+			nd := c.waitLeader(5 * time.Second)
+			if rng.Intn(3) == 0 {
+				nd = c.nodes[rng.Intn(len(c.nodes))]
+			}
+			pause := func() { time.Sleep(time.Duration(500+rng.Intn(700)) * time.Millisecond) }
+			switch round % 3 {
+			case 0:
+				nd.cut(true)
+				pause()
+				nd.cut(false)
+			case 1:
+				freezeFor(nd, 800*time.Millisecond)
+				pause()
+			case 2:
+				nd.kill()
+				if rng.Intn(2) == 0 {
+					nd.wipe()
+				}
+				pause()
+				nd.start()
+				c.waitVoter(nd)
+			}
+			pause()
+		}
+		close(stop)
+		wg.Wait()
+		reads := 0
+		for _, op := range h.ops {
+			if op.Input.(registerOp).write == "" {
+				reads++
+			}
+		}
+		GinkgoWriter.Println("operations:", len(h.ops), "reads:", reads)
+		Expect(reads).To(BeNumerically(">", 100))
+		Expect(porcupine.CheckOperationsTimeout(registerModel, h.ops, time.Minute)).To(Equal(porcupine.Ok))
+	})
+})
