Test that a stopped member interrupts no call

Three members in one process, six workers that begin calls, one member is stopped: no call fails or is begun twice.

--- a/cmd/figlb-state/run_test.go
+++ b/cmd/figlb-state/run_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"github.com/figlb/figlb/internal/testsite"
 	"github.com/figlb/figlb/settings"
@@ -21,33 +26,102 @@
 	RunSpecs(t, "figlb-state")
 }
 
-var _ = Describe("figlb-state", func() {
-	// Guards against a member that hangs on SIGTERM or does not serve after its start.
-	It("serves until its context ends", func() {
-		addrs, err := testsite.FreeAddrs(2)
-		Expect(err).NotTo(HaveOccurred())
-		dir := GinkgoT().TempDir()
-		path := filepath.Join(dir, "state.ini")
-		text := "[state]\nid = s1\nzone = a\nlisten = " + addrs[0] + "\nadmin = " + addrs[1] +
-			"\ndata = " + filepath.Join(dir, "data") + "\nmembers = s1=" + addrs[0] + "\ngroups = 2\n"
+// member is a running figlb-state in this process.
+type member struct {
+	stop context.CancelFunc
+	done chan error
+}
+
+// startMembers starts a site of n members and returns them with their addresses.
+func startMembers(n int) ([]*member, []string) {
+	addrs, err := testsite.FreeAddrs(2 * n)
+	Expect(err).NotTo(HaveOccurred())
+	dir := GinkgoT().TempDir()
+	var list []string
+	for i := range n {
+		list = append(list, fmt.Sprintf("s%d=%s", i, addrs[i]))
+	}
+	var out []*member
+	for i := range n {
+		path := filepath.Join(dir, fmt.Sprintf("s%d.ini", i))
+		text := fmt.Sprintf("[state]\nid = s%d\nzone = a\nlisten = %s\nadmin = %s\ndata = %s\nmembers = %s\ngroups = 2\n[log]\nlevel = error\n",
+			i, addrs[i], addrs[n+i], filepath.Join(dir, fmt.Sprint("data", i)), strings.Join(list, ","))
 		Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
 		file, err := settings.LoadState(path)
 		Expect(err).NotTo(HaveOccurred())
-
 		ctx, stop := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() { done <- run(ctx, file, true) }()
+		m := &member{stop: stop, done: make(chan error, 1)}
+		go func() { m.done <- run(ctx, file, i == 0) }()
 		DeferCleanup(stop)
-		client, err := stateclient.New(addrs[:1], 2, nil)
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(client.Close)
-		callCtx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-		DeferCleanup(cancel)
-		p, err := client.OpenProgram(callCtx, "acme", structs.OpenProgram{ID: "p", Limits: structs.Limits{BudgetTokens: 10}})
+		out = append(out, m)
+	}
+	return out, addrs[:n]
+}
+
+func connect(addrs []string) (*stateclient.Client, context.Context) {
+	client, err := stateclient.New(addrs, 2, nil)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(client.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	DeferCleanup(cancel)
+	return client, ctx
+}
+
+var limits = structs.Limits{Revision: 1, Rate: 1e6, Burst: 1e6, BudgetTokens: 10}
+
+var _ = Describe("figlb-state", func() {
+	// Guards against a member that hangs on SIGTERM or does not serve after its start.
+	It("serves until its context ends", func() {
+		members, addrs := startMembers(1)
+		client, ctx := connect(addrs)
+		p, err := client.OpenProgram(ctx, "acme", structs.OpenProgram{ID: "p", Limits: limits})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(p.Budget).To(BeEquivalentTo(10))
+		members[0].stop()
+		Eventually(members[0].done, 10*time.Second).Should(Receive(BeNil()))
+	})
 
-		stop()
-		Eventually(done, 10*time.Second).Should(Receive(BeNil()))
+	// Guards against calls that are refused or run twice because a member is stopped.
+	It("answers each call once while a member stops", func() {
+		members, addrs := startMembers(3)
+		client, ctx := connect(addrs)
+		voters := func() int {
+			up, _ := client.Members(ctx)
+			n := 0
+			for _, m := range up {
+				for _, g := range m.Groups {
+					n = max(n, len(g.Voters))
+				}
+			}
+			return n
+		}
+		Eventually(voters, "30s", "100ms").Should(Equal(3))
+		var stopped atomic.Bool
+		var calls, longest atomic.Int64
+		var wg sync.WaitGroup
+		failures := make(chan error, 100)
+		for w := range 6 {
+			wg.Go(func() {
+				for n := 0; !stopped.Load(); n++ {
+					start := time.Now()
+					r, err := client.BeginCall(ctx, "acme", structs.BeginCall{Key: fmt.Sprint(w, "/", n), Entry: "e", Limits: limits})
+					if err != nil || !r.Begun {
+						failures <- errors.Errorf("call %d of worker %d: %+v %v", n, w, r, err)
+						return
+					}
+					calls.Add(1)
+					longest.Store(max(longest.Load(), int64(time.Since(start))))
+				}
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		members[0].stop()
+		Eventually(members[0].done, 10*time.Second).Should(Receive(BeNil()))
+		time.Sleep(3 * time.Second)
+		stopped.Store(true)
+		wg.Wait()
+		Expect(failures).NotTo(Receive())
+		Expect(time.Duration(longest.Load())).To(BeNumerically("<", 3*time.Second), "2 s for a new leader, and one attempt")
+		GinkgoWriter.Println(calls.Load(), "calls, longest", time.Duration(longest.Load()))
 	})
 })
