Number the attempts of calls, and keep a leader that was found meanwhile

A call proved not run may be begun again, by the same entry too. Its first attempt's "not run" may then arrive a second time, because an entry records an outcome again after a lost reply; it made the running second attempt "not run", and a third could begin beside it. FinishCall may name its attempt now; entries have to send it.

stateclient: late failures of an old leader no longer replace the address of the new one, and a member that is not the leader is not marked silent.

--- a/stateclient/sched.go
+++ b/stateclient/sched.go
@@ -46,10 +46,12 @@
 // LeaderFailed tells that addr did not answer as the leader of a group. hint is the
 // leader's address if the member named one.
 func (c *Client) LeaderFailed(group uint32, addr, hint string) {
-	next := c.next(group, addr, verdict{leader: hint, silent: hint == ""})
+	next := c.next(group, addr, verdict{leader: hint})
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leaders[group] = next
+	if c.leaders[group] == "" { // else another call has found the leader meanwhile
+		c.leaders[group] = next
+	}
 }
 
 // Conn returns the connection to a member; schedulers are called on it.
--- a/statemachine/orgsm/call.go
+++ b/statemachine/orgsm/call.go
@@ -22,9 +22,13 @@
 	if err := o.debit(); err != nil {
 		return refuse(err)
 	}
+	attempt := 1
+	if old := o.calls[c.Key]; old != nil {
+		attempt = old.Rec.Attempt + 1
+	}
 	k := &call{Rec: structs.Call{
 		Key: c.Key, Service: c.Service, Digest: c.Digest,
-		State: structs.CallRunning, Entry: c.Entry, BegunAt: now,
+		State: structs.CallRunning, Entry: c.Entry, Attempt: attempt, BegunAt: now,
 	}}
 	o.calls[c.Key] = k
 	return structs.OrgReply{BeginCall: &structs.BeginCallReply{Call: k.Rec, Begun: true}}
@@ -62,9 +66,10 @@
 		return refuse(unknownCall(c.Key))
 	}
 	open := k.Rec.State == structs.CallRunning || k.Rec.State == structs.CallUnknown
-	if !open || k.Rec.Entry != c.Entry {
+	current := k.Rec.Entry == c.Entry && (c.Attempt == 0 || c.Attempt == k.Rec.Attempt)
+	if !open || !current {
 		return refuse(errs.New(errs.Superseded, "read the recorded outcome",
-			"call %q is %s and not this entry's to finish", c.Key, k.Rec.State).WithRun(errs.RunUnknown))
+			"call %q is %s and not this attempt's to finish", c.Key, k.Rec.State).WithRun(errs.RunUnknown))
 	}
 	switch c.State {
 	case structs.CallFinished, structs.CallUnknown, structs.CallNotRun:
--- a/statemachine/orgsm/rules_test.go
+++ b/statemachine/orgsm/rules_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/statemachine/orgsm"
+	"github.com/figlb/figlb/statemachine/reqlog"
 	"github.com/figlb/figlb/structs"
 )
 
@@ -246,7 +247,9 @@
 	It("are bounded, also after a restore", func() {
 		g := newGroup()
 		for i := range 100_000 {
-			g.do(g.open(fmt.Sprint(i), ""))
+			c := g.open(fmt.Sprint(i), "")
+			c.Org = "acme"
+			g.Apply(0, g.now, reqlog.Encode(&c))
 		}
 		data, err := g.Snapshot()
 		Expect(err).NotTo(HaveOccurred())
@@ -282,6 +285,18 @@
 		Expect(g.must(g.call("k-unknown", "d")).BeginCall.Begun).To(BeTrue())
 	})
 
+	// Guards against a third attempt beside the second: the first one's "not run" arrives twice.
+	It("refuse a late finish of an older attempt of the same entry", func() {
+		g := newGroup()
+		late := finishCall("k", "e1", structs.CallNotRun)
+		late.FinishCall.Attempt = g.must(g.call("k", "d")).BeginCall.Call.Attempt
+		g.must(late)
+		Expect(g.must(g.call("k", "d")).BeginCall.Begun).To(BeTrue())
+		late.RequestID = ""
+		Expect(g.do(late).Err.Code).To(Equal(errs.Superseded))
+		Expect(g.must(g.call("k", "d")).BeginCall.Begun).To(BeFalse())
+	})
+
 	It("stay unknown for ever", func() {
 		g := prepared()
 		g.now += 1000 * time.Hour
--- a/stateserver/client_test.go
+++ b/stateserver/client_test.go
@@ -119,8 +119,10 @@
 		_, err = m.client.BeginTurn(ctx, "acme", structs.BeginTurn{Program: "p", MaxTokens: 10, Limits: limits})
 		Expect(err).NotTo(HaveOccurred())
 		c := newClient(relay.Addr(), m.addr)
-		_, _ = c.GetProgram(ctx, structs.ProgramQuery{Org: "acme", Program: "p"})
-		c.LeaderFailed(c.OrgGroup("acme"), "", relay.Addr())
+		leader, _ := c.LeaderAddress(ctx, c.OrgGroup("acme"))
+		if leader != relay.Addr() {
+			c.LeaderFailed(c.OrgGroup("acme"), leader, relay.Addr())
+		}
 		result := make(chan structs.TurnState, 1)
 		go func() {
 			t, err := c.GetTurn(ctx, structs.TurnQuery{Org: "acme", Program: "p", Turn: 1, Wait: 20 * time.Second})
--- a/structs/program.go
+++ b/structs/program.go
@@ -218,6 +218,8 @@
 	Digest  string    `msgpack:"d" json:"digest"`
 	State   CallState `msgpack:"t" json:"state"`
 	Entry   string    `msgpack:"e" json:"-"`
+	// Attempt counts the begins: it is above 1 for a call begun again after CallNotRun.
+	Attempt int `msgpack:"n,omitempty" json:"attempt,omitempty"`
 	// Target is the one the call was meant for, if known.
 	Target  string            `msgpack:"g,omitempty" json:"target,omitempty"`
 	Status  int               `msgpack:"c,omitempty" json:"status,omitempty"`
@@ -246,13 +248,17 @@
 
 // FinishCall records a call's outcome. State is CallFinished, CallUnknown or CallNotRun.
 type FinishCall struct {
-	Key    string            `msgpack:"k"`
-	Entry  string            `msgpack:"e"`
-	State  CallState         `msgpack:"t"`
-	Target string            `msgpack:"g,omitempty"`
-	Status int               `msgpack:"c,omitempty"`
-	Header map[string]string `msgpack:"h,omitempty"`
-	Body   []byte            `msgpack:"b,omitempty"`
+	Key   string    `msgpack:"k"`
+	Entry string    `msgpack:"e"`
+	State CallState `msgpack:"t"`
+	// Attempt is the begun call's. A finish of an older attempt is refused; without it, a
+	// late "not run" of the entry's first attempt would allow a third beside the second.
+	// 0 is taken for the current one.
+	Attempt int               `msgpack:"n,omitempty"`
+	Target  string            `msgpack:"g,omitempty"`
+	Status  int               `msgpack:"c,omitempty"`
+	Header  map[string]string `msgpack:"h,omitempty"`
+	Body    []byte            `msgpack:"b,omitempty"`
 }
 
 // ResolveCall settles an unknown call after a look at the back end.
