--- a/entry/generate.go
+++ b/entry/generate.go
@@ -49,6 +49,7 @@
 	targets  []string
 	exclude  []string
 	crashes  int
+	last     *engine.Failure
 	// written tells that a target may have seen the request, spent that it may have
 	// generated tokens that no usage accounts for.
 	written bool
@@ -119,7 +120,6 @@
 	if f == nil {
 		// The target is free while the answer is being recorded.
 		g.release(asg, structs.OutcomeOK, res)
-		g.t.e.retries.success(g.t.svc.Pool())
 		g.succeed(ctx, res)
 		return nil, false
 	}
@@ -161,6 +161,7 @@
 		Prefix:       g.prefix.hashes,
 		PrefixTokens: g.prefix.tokens,
 		Exclude:      g.exclude,
+		Digest:       g.digest,
 	}
 	if t.svc.Deadline > 0 {
 		req.Deadline = max(t.svc.Deadline-req.ProgramAge, time.Millisecond)
@@ -172,7 +173,14 @@
 		if ctx.Err() != nil {
 			return nil, g.runState(contextError(ctx).WithRun(errs.NotRun))
 		}
-		return nil, g.runState(assignError(err))
+		e := assignError(err)
+		if e.Code == errs.TargetFailed && g.last != nil {
+			e = retryRefused(g.last, e.RetryAfter)
+		}
+		if e.Code == errs.RequestQuarantined {
+			t.e.addFingerprint(ctx, g.digest)
+		}
+		return nil, g.runState(e)
 	}
 	return asg, nil
 }
@@ -275,6 +283,7 @@
 		Slot:     asg.Slot,
 		Target:   asg.Target,
 		Outcome:  o,
+		Digest:   crashDigest(o, g.digest),
 		TTFT:     res.TTFT,
 		Duration: res.Duration,
 		Usage:    res.Usage,
@@ -297,14 +306,14 @@
 	if !g.resume() {
 		return targetFailed(f).WithRun(errs.RunUnknown), false
 	}
-	if len(g.targets) >= maxDispatches || !g.t.e.allowRetry(ctx, g.t.svc.Pool()) {
+	if !g.t.e.mayRetry(g.t.svc.Pool(), len(g.targets), g.exclude) {
 		return g.runState(targetFailed(f)), false
 	}
-	g.t.e.count(metricRetries)
 	return nil, true
 }
 
 func (g *generation) note(asg *structs.Assignment, f *engine.Failure) {
+	g.last = f
 	g.exclude = append(g.exclude, asg.Target)
 	g.written = g.written || f.Written
 	if f.Written && f.Status == 0 || f.Status == 200 {
@@ -332,13 +341,16 @@
 
 // quarantine records that the request crashes targets.
 func (g *generation) quarantine(ctx context.Context) *errs.Error {
-	f := structs.Fingerprint{Digest: g.digest, ExpiresAt: time.Now().Add(quarantineTime).Unix()}
-	g.t.e.addFingerprint(ctx, f)
-	return quarantined(&f).WithRun(errs.Ran)
+	g.t.e.addFingerprint(ctx, g.digest)
+	return quarantined(&structs.Fingerprint{Digest: g.digest}).WithRun(errs.Ran)
 }
 
-// addFingerprint records a fingerprint in the background.
-func (e *Entry) addFingerprint(ctx context.Context, f structs.Fingerprint) {
+// addFingerprint records in the background that requests with a digest crash targets.
+func (e *Entry) addFingerprint(ctx context.Context, digest string) {
+	if _, known := e.config.snapshot().quarantined(digest, time.Now()); known {
+		return
+	}
+	f := structs.Fingerprint{Digest: digest, ExpiresAt: time.Now().Add(quarantineTime).Unix()}
 	e.count(metricQuarantine)
 	e.background(func() {
 		cctx, cancel := e.commitContext(ctx)
