Give up calls of dead entries without a resend

A call whose entry had died stayed running for 10 minutes unless its caller sent it again, and could not be resolved meanwhile. The expiry of a group's leader now names the live entries if one of its calls is older than 15 s, and such a call becomes unknown within about 25 s. The list comes from the member's follower of group 0 and must be younger than 3 s; without one the 10 minutes stay.

--- a/cmd/figlb-state/run.go
+++ b/cmd/figlb-state/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
@@ -55,19 +56,20 @@
 		return err
 	}
 	defer n.close()
+	sched, err := startScheduler(st, members, n, w, tlsConf, log)
+	if err != nil {
+		return err
+	}
+	defer sched.stop()
 	srv := stateserver.New(stateserver.Options{
 		Node: n, Machines: machines, ID: st.ID, Zone: st.Zone, Members: members,
 		ProgramIdle: st.ProgramIdle, KeepEnded: st.KeepEnded,
 		Log: log, Metrics: metrics.DefaultRegistry,
 		Status:       func() structs.MemberStatus { return n.status(st.ID, st.Zone, w.Addr()) },
 		RemoveMember: n.removeMember,
+		LiveEntries:  sched.liveEntries,
 	})
 	srv.Register(w)
-	stopScheduler, err := startScheduler(st, members, n, w, tlsConf, log)
-	if err != nil {
-		return err
-	}
-	defer stopScheduler()
 	admin, err := telemetry.StartAdmin(st.Admin, metrics.DefaultRegistry, func() error { return ready(n) })
 	if err != nil {
 		return err
@@ -102,10 +104,16 @@
 	return nil
 }
 
-// startScheduler runs the schedulers of the pools whose groups this member leads. It
-// returns the function that stops them.
+// scheduler is the running schedulers with what they know of the configuration.
+type scheduler struct {
+	client   *stateclient.Client
+	follower *topology.Follower
+	manager  *dispatch.Manager
+}
+
+// startScheduler runs the schedulers of the pools whose groups this member leads.
 func startScheduler(st settings.State, members []settings.Member, n replica.Node, w *wire.Server,
-	tlsConf *tls.Config, log logr.Logger) (stop func(), err error) {
+	tlsConf *tls.Config, log logr.Logger) (*scheduler, error) {
 	addresses := make([]string, len(members))
 	for i, m := range members {
 		addresses[i] = m.Address
@@ -114,13 +122,27 @@
 	if err != nil {
 		return nil, err
 	}
-	follower := topology.Start(client, log)
+	s := &scheduler{client: client, follower: topology.Start(client, log)}
 	opts := dispatch.Options{Log: log, HostListURL: st.HostList}
-	manager := dispatch.NewManager(opts, dispatch.NodeGroups(n, st.Groups), follower)
-	dispatch.Register(w, manager)
-	return func() {
-		manager.Close()
-		follower.Close()
-		client.Close()
-	}, nil
+	s.manager = dispatch.NewManager(opts, dispatch.NodeGroups(n, st.Groups), s.follower)
+	dispatch.Register(w, s.manager)
+	return s, nil
+}
+
+func (s *scheduler) stop() {
+	s.manager.Close()
+	s.follower.Close()
+	s.client.Close()
+}
+
+// maxListAge is the age up to which a list of live entries is used.
+const maxListAge = 3 * time.Second
+
+// liveEntries returns the live entries, nil if the list is too old or not known.
+func (s *scheduler) liveEntries() []string {
+	live, known := s.follower.LiveEntries()
+	if !known || s.follower.Age() > maxListAge {
+		return nil
+	}
+	return live
 }
--- a/statemachine/orgsm/expire.go
+++ b/statemachine/orgsm/expire.go
@@ -12,8 +12,47 @@
 	turnLease = 10 * time.Minute
 	// callLease is the same for calls, which then become unknown.
 	callLease = 10 * time.Minute
+	// deadEntryAge is the age from which a turn or call of an entry that is not in the
+	// list of live entries is given up. A younger one may belong to an entry that has
+	// joined since the list was made.
+	deadEntryAge = 15 * time.Second
 )
 
+// givenUp reports whether a turn or call that has been running for age gets no outcome
+// any more.
+func givenUp(entry string, age, lease time.Duration, live []string) bool {
+	return age > lease || age > deadEntryAge && isDead(entry, "", live)
+}
+
+// NeedsLive reports whether Expire has a use for the list of live entries: whether a
+// call, or a turn of an ended program, is old enough to be given up.
+func (m *Machine) NeedsLive(now time.Duration) bool {
+	for i := range m.shards {
+		if m.shards[i].needsLive(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *shard) needsLive(now time.Duration) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, o := range s.orgs {
+		for _, k := range o.calls {
+			if k.Rec.State == structs.CallRunning && now-k.Rec.BegunAt > deadEntryAge {
+				return true
+			}
+		}
+		for _, p := range o.programs {
+			if p.Rec.State != structs.ProgramOpen && p.running() != nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // expire ends idle programs, settles abandoned turns and calls, and drops old records.
 func (o *org) expire(c *structs.Expire, now time.Duration) {
 	for _, id := range sortedKeys(o.programs) {
@@ -36,7 +75,7 @@
 		}
 		return
 	}
-	if t != nil && now-max(p.EndedAt, p.Rec.LastActive) > turnLease {
+	if t != nil && givenUp(t.Entry, now-max(p.EndedAt, p.Rec.LastActive), turnLease, c.LiveEntries) {
 		o.abandon(p, t)
 		t = nil
 	}
@@ -78,7 +117,7 @@
 func (o *org) expireCall(k *call, c *structs.Expire, now time.Duration) {
 	switch k.Rec.State {
 	case structs.CallRunning:
-		if now-k.Rec.BegunAt > callLease {
+		if givenUp(k.Rec.Entry, now-k.Rec.BegunAt, callLease, c.LiveEntries) {
 			o.setUnknown(k)
 		}
 	case structs.CallFinished, structs.CallNotRun:
--- a/statemachine/orgsm/rules_test.go
+++ b/statemachine/orgsm/rules_test.go
@@ -297,6 +297,30 @@
 		Expect(g.must(g.call("k", "d")).BeginCall.Begun).To(BeFalse())
 	})
 
+	// Guards against a call that an operator cannot resolve because nobody sends it again.
+	It("become unknown soon after their entry died, but not if they are young", func() {
+		for _, c := range []struct {
+			age  time.Duration
+			live []string
+			want structs.CallState
+		}{
+			{10 * time.Second, []string{"e2"}, structs.CallRunning},
+			{20 * time.Second, []string{"e2"}, structs.CallUnknown},
+			{20 * time.Second, []string{"e1"}, structs.CallRunning},
+			{20 * time.Second, nil, structs.CallRunning},
+		} {
+			g := prepared()
+			g.now += c.age
+			Expect(g.NeedsLive(g.now)).To(Equal(c.age > 15*time.Second))
+			e := expire(time.Hour, time.Hour)
+			e.Expire.LiveEntries = c.live
+			g.must(e)
+			rec, _, err := g.Call("acme", "k-run")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rec.State).To(Equal(c.want), "%+v", c)
+		}
+	})
+
 	It("stay unknown for ever", func() {
 		g := prepared()
 		g.now += 1000 * time.Hour
--- a/stateserver/jobs.go
+++ b/stateserver/jobs.go
@@ -49,14 +49,15 @@
 
 // expireAll proposes an expiry in each organisation group that this member leads.
 func (s *Server) expireAll(ctx context.Context) {
-	for group := range s.Machines.Orgs {
+	for group, sm := range s.Machines.Orgs {
 		if !s.Node.IsLeader(group) {
 			continue
 		}
-		c := &structs.OrgCommand{
-			RequestID: stateclient.NewRequestID(),
-			Expire:    &structs.Expire{Idle: s.ProgramIdle, Keep: s.KeepEnded},
+		e := &structs.Expire{Idle: s.ProgramIdle, Keep: s.KeepEnded}
+		if s.LiveEntries != nil && sm.NeedsLive(s.Node.LogTime(group)) {
+			e.LiveEntries = s.LiveEntries()
 		}
+		c := &structs.OrgCommand{RequestID: stateclient.NewRequestID(), Expire: e}
 		if _, err := s.proposeJob(ctx, group, c); err != nil {
 			s.logJob("expiry", group, err)
 		}
--- a/stateserver/server.go
+++ b/stateserver/server.go
@@ -56,6 +56,9 @@
 	KeepEnded   time.Duration
 	Log         logr.Logger
 	Metrics     metrics.Registry
+	// LiveEntries returns the incarnations of live entries from a list that is at most a few
+	// seconds old, nil if there is none. It may be nil.
+	LiveEntries func() []string
 	// Status and RemoveMember are the replica's; nil where it has none. RemoveMember
 	// removes a member from the groups that this member leads and names them.
 	Status       func() structs.MemberStatus
--- a/structs/program.go
+++ b/structs/program.go
@@ -286,6 +286,9 @@
 type Expire struct {
 	Idle time.Duration `msgpack:"i"`
 	Keep time.Duration `msgpack:"k"`
+	// LiveEntries lists incarnations that are alive, empty if not known. A call whose
+	// entry is dead becomes unknown; a turn of an ended program is settled.
+	LiveEntries []string `msgpack:"l,omitempty"`
 }
 
 // Release names engine memory to be freed: the KV cache of an ended program.
