--- a/statemachine/orgsm/rules_test.go
+++ b/statemachine/orgsm/rules_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/statemachine/orgsm"
+	"github.com/figlb/figlb/statemachine/reqlog"
 	"github.com/figlb/figlb/structs"
 )
 
@@ -246,7 +247,9 @@
 	It("are bounded, also after a restore", func() {
 		g := newGroup()
 		for i := range 100_000 {
-			g.do(g.open(fmt.Sprint(i), ""))
+			c := g.open(fmt.Sprint(i), "")
+			c.Org = "acme"
+			g.Apply(0, g.now, reqlog.Encode(&c))
 		}
 		data, err := g.Snapshot()
 		Expect(err).NotTo(HaveOccurred())
@@ -282,6 +285,42 @@
 		Expect(g.must(g.call("k-unknown", "d")).BeginCall.Begun).To(BeTrue())
 	})
 
+	// Guards against a third attempt beside the second: the first one's "not run" arrives twice.
+	It("refuse a late finish of an older attempt of the same entry", func() {
+		g := newGroup()
+		late := finishCall("k", "e1", structs.CallNotRun)
+		late.FinishCall.Attempt = g.must(g.call("k", "d")).BeginCall.Call.Attempt
+		g.must(late)
+		Expect(g.must(g.call("k", "d")).BeginCall.Begun).To(BeTrue())
+		late.RequestID = ""
+		Expect(g.do(late).Err.Code).To(Equal(errs.Superseded))
+		Expect(g.must(g.call("k", "d")).BeginCall.Begun).To(BeFalse())
+	})
+
+	// Guards against a call that an operator cannot resolve because nobody sends it again.
+	It("become unknown soon after their entry died, but not if they are young", func() {
+		for _, c := range []struct {
+			age  time.Duration
+			live []string
+			want structs.CallState
+		}{
+			{10 * time.Second, []string{"e2"}, structs.CallRunning},
+			{20 * time.Second, []string{"e2"}, structs.CallUnknown},
+			{20 * time.Second, []string{"e1"}, structs.CallRunning},
+			{20 * time.Second, nil, structs.CallRunning},
+		} {
+			g := prepared()
+			g.now += c.age
+			Expect(g.NeedsLive(g.now)).To(Equal(c.age > 15*time.Second))
+			e := expire(time.Hour, time.Hour)
+			e.Expire.LiveEntries = c.live
+			g.must(e)
+			rec, _, err := g.Call("acme", "k-run")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(rec.State).To(Equal(c.want), "%+v", c)
+		}
+	})
+
 	It("stay unknown for ever", func() {
 		g := prepared()
 		g.now += 1000 * time.Hour
