Prove that an orphaned call was not dispatched before recording it

A call whose begin command lost its reply is recorded as not run. The check read the record first and the table of live calls after it: a call that ended as unknown in between looked like the orphan, and the state accepts not_run for an unknown call of the same entry, so a resend could have run it twice. The key is now claimed while the record is read and settled, and nothing begins for it meanwhile. A call without a recorded outcome stays in the table. A call that waited longer than the confirmation is valid is read again before its dispatch, because another entry may have taken this one for dead and an operator may have resolved the call.

--- a/entry/call.go
+++ b/entry/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
 	"github.com/figlb/figlb/engine"
 	"github.com/figlb/figlb/entry/reply"
@@ -30,6 +31,11 @@
 	key string
 	// refusedAt is when the call was first found to run already.
 	refusedAt time.Time
+	// begunAt is when the last begin command was sent.
+	begunAt time.Time
+	// settled tells that the state holds an outcome, so that the call cannot be taken
+	// for one that was never dispatched.
+	settled bool
 
 	// done is closed after result and fail are set.
 	done   chan struct{}
@@ -109,6 +115,13 @@
 	until := time.Now().Add(c.q.timeout() + callWaitMargin)
 	for {
 		b, err := c.begin(ctx)
+		if errors.Is(err, errClaimed) {
+			sleep(c.q.e.ctx, inProgressPause)
+			if !c.mayWait(until) {
+				return
+			}
+			continue
+		}
 		if err != nil {
 			c.close(nil, stateError(err))
 			if outcomeUnsettled(err) {
@@ -126,11 +139,17 @@
 	}
 }
 
+// errClaimed tells that the key's last call is being settled.
+var errClaimed = errors.New("the call is being settled")
+
 // begin records the intent before anything is sent.
 func (c *call) begin(ctx context.Context) (*structs.BeginCallReply, error) {
 	cctx, cancel := c.q.e.commitContext(ctx)
 	defer cancel()
-	c.q.e.calls.beginning(c.tableKey())
+	if !c.q.e.calls.beginning(c.tableKey()) {
+		return nil, errClaimed
+	}
+	c.begunAt = time.Now()
 	defer c.q.e.timeSince(metricBegin, time.Now())
 	b, err := c.q.e.state.BeginCall(cctx, c.q.org, structs.BeginCall{
 		Key:         c.key,
@@ -168,13 +187,10 @@
 	if c.refusedAt.IsZero() {
 		c.refusedAt = time.Now()
 	}
-	if c.orphan(rec) {
-		_ = c.record(ctx, structs.FinishCall{State: structs.CallNotRun}) // the next begin command finds it again
-		return true
+	if c.mayBeOrphan(rec) && c.endOrphan(ctx) == nil {
+		return c.mayWait(until)
 	}
-	if time.Now().After(until) || c.q.e.ctx.Err() != nil {
-		e := errs.New(errs.CallInProgress, "read the outcome with GET /v1/calls/{key}", "the call %q is still running", c.key)
-		c.close(nil, e.WithRun(errs.RunUnknown).WithRetryAfter(time.Second))
+	if !c.mayWait(until) {
 		return false
 	}
 	qctx, cancel := c.q.e.commitContext(ctx)
@@ -186,23 +202,49 @@
 	return true
 }
 
-// orphan reports whether a call is recorded as running here but is not: the reply to its
-// begin command was lost, so it was never dispatched.
-func (c *call) orphan(rec *structs.Call) bool {
+// mayWait closes the call as still running if the time to wait for it is over.
+func (c *call) mayWait(until time.Time) bool {
+	if time.Now().Before(until) && c.q.e.ctx.Err() == nil {
+		return true
+	}
+	e := errs.New(errs.CallInProgress, "read the outcome with GET /v1/calls/{key}", "the call %q is still running", c.key)
+	c.close(nil, e.WithRun(errs.RunUnknown).WithRetryAfter(time.Second))
+	return false
+}
+
+// mayBeOrphan reports whether a call is recorded as running here but seems not to be.
+func (c *call) mayBeOrphan(rec *structs.Call) bool {
 	return rec.State == structs.CallRunning && rec.Entry == c.q.e.incarn && c.q.e.calls.idle(c.tableKey())
 }
 
-// cleanUpBegin records that the call was not run if its begin command was recorded
-// although the reply was lost.
+// endOrphan records that the call was not run if it is recorded as running here but is
+// not: the reply to its begin command was lost, so it was never dispatched. The record is
+// read and changed while nothing can begin here for the key; otherwise a call that
+// begins, is dispatched and is lost in between would be taken for the orphan.
+func (c *call) endOrphan(ctx context.Context) error {
+	key := c.tableKey()
+	if !c.q.e.calls.claim(key) {
+		return nil
+	}
+	defer c.q.e.calls.unclaim(key)
+	qctx, cancel := c.q.e.queryContext(ctx, 0)
+	defer cancel()
+	rec, err := c.q.e.state.GetCall(qctx, structs.CallQuery{Org: c.q.org, Key: c.key})
+	if err != nil {
+		return err
+	}
+	if rec.State == structs.CallRunning && rec.Entry == c.q.e.incarn {
+		c.recordFully(ctx, structs.FinishCall{State: structs.CallNotRun})
+	}
+	return nil
+}
+
+// cleanUpBegin ends the call if its begin command was recorded although the reply was
+// lost. Without it a resend to another entry would wait for this one.
 func (c *call) cleanUpBegin(ctx context.Context) {
 	until := time.Now().Add(finishRetryLimit)
 	for time.Now().Before(until) && c.q.e.ctx.Err() == nil {
-		qctx, cancel := c.q.e.queryContext(ctx, 0)
-		rec, err := c.q.e.state.GetCall(qctx, structs.CallQuery{Org: c.q.org, Key: c.key})
-		cancel()
-		if err == nil && c.orphan(rec) {
-			err = c.record(ctx, structs.FinishCall{State: structs.CallNotRun})
-		}
+		err := c.endOrphan(ctx)
 		if err == nil || !outcomeUnsettled(err) {
 			return
 		}
@@ -210,10 +252,39 @@
 	}
 }
 
+// stillOurs checks, right before the dispatch, that no other entry has taken this one
+// for dead since the call was begun: its record may have been settled then. It asks the
+// state only if that is possible.
+func (c *call) stillOurs(ctx context.Context) *errs.Error {
+	if time.Since(c.begunAt) <= c.q.e.timing.ConfirmValidity {
+		return nil
+	}
+	qctx, cancel := c.q.e.queryContext(ctx, 0)
+	defer cancel()
+	rec, err := c.q.e.state.GetCall(qctx, structs.CallQuery{Org: c.q.org, Key: c.key})
+	if err != nil {
+		return stateError(err)
+	}
+	if rec.State == structs.CallRunning && rec.Entry == c.q.e.incarn {
+		return nil
+	}
+	return errs.New(errs.Superseded, "read the outcome with GET /v1/calls/{key}", "the call %q was settled before it was dispatched", c.key).WithRun(errs.RunUnknown)
+}
+
+// leaveTable forgets the call once its outcome is recorded. Without a record it stays
+// known until the process ends, because its record says that it is running here.
+func (c *call) leaveTable() {
+	if c.settled {
+		c.q.e.calls.end(c.tableKey(), c)
+	}
+}
+
 // dispatch sends the call. It is sent again only if the failure proves that no byte of
 // it has left this process.
 func (c *call) dispatch(ctx context.Context) {
-	defer c.q.e.calls.end(c.tableKey(), c)
+	c.settled = false
+	c.q.verify = c.stillOurs
+	defer c.leaveTable()
 	stop := c.q.e.cancelOnStop(&ctx)
 	defer stop()
 	wait, untrack := c.q.e.trackKey(ctx, c.q.id.KeyID)
@@ -236,9 +307,13 @@
 	}
 }
 
-// closeNotRun answers at once and records the proof that the call was not run.
+// closeNotRun answers at once and records the proof that the call was not run. A call
+// that was settled elsewhere may have been begun again there.
 func (c *call) closeNotRun(ctx context.Context, fail *errs.Error) {
-	c.close(nil, fail.WithRun(errs.NotRun))
+	if fail.Code != errs.Superseded {
+		fail = fail.WithRun(errs.NotRun)
+	}
+	c.close(nil, fail)
 	c.recordFully(ctx, structs.FinishCall{State: structs.CallNotRun})
 }
 
@@ -287,6 +362,9 @@
 	cmd.Key, cmd.Entry = c.key, c.q.e.incarn
 	defer c.q.e.timeSince(metricFinish, time.Now())
 	_, err := c.q.e.state.FinishCall(cctx, c.q.org, cmd)
+	if err == nil || errs.Is(err, errs.Superseded) {
+		c.settled = true
+	}
 	if err != nil {
 		c.q.e.log.Info("call outcome not recorded yet", "key", c.key, "state", cmd.State, "error", err.Error())
 	}
--- a/entry/call_test.go
+++ b/entry/call_test.go
@@ -174,6 +174,46 @@
 		Expect(errorOf(body)).To(HaveKeyWithValue("code", "outcome_unknown"))
 	})
 
+	ginkgo.It("are not dispatched after another entry has settled them", func() {
+		// Guards against a call that waits in the queue while its entry is taken for
+		// dead, is resolved, is run elsewhere and then runs a second time.
+		b := newBed(Timing{ConfirmValidity: 200 * time.Millisecond})
+		var runs atomic.Int32
+		b.target("o1", "", "orders", func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+		b.service(orders)
+		hold := make(chan struct{})
+		b.sched.mu.Lock()
+		b.sched.hold = hold
+		b.sched.mu.Unlock()
+		done := make(chan string, 1)
+		go func() {
+			defer ginkgo.GinkgoRecover()
+			_, body := b.do("POST", "/orders", "7", pay)
+			done <- body
+		}()
+		Consistently(done, "400ms").ShouldNot(Receive())
+		b.state.change(func() { b.state.calls["oclpay-1"].State = structs.CallNotRun })
+		close(hold)
+		var body string
+		Eventually(done, "4s").Should(Receive(&body))
+		Expect(errorOf(body)).To(And(HaveKeyWithValue("code", "superseded"), HaveKeyWithValue("run", "unknown")))
+		Expect(runs.Load()).To(BeZero())
+	})
+
+	ginkgo.It("do not begin while their last record is being settled", func() {
+		// Guards against a "not run" that is meant for an earlier begin command and
+		// hits a call that was dispatched in the meantime.
+		l := newLiveTable[call]()
+		Expect(l.claim("k")).To(BeTrue())
+		Expect(l.claim("k")).To(BeFalse())
+		Expect(l.beginning("k")).To(BeFalse())
+		l.unclaim("k")
+		Expect(l.beginning("k")).To(BeTrue())
+		Expect(l.claim("k")).To(BeFalse())
+		l.begun("k", &call{})
+		Expect(l.claim("k")).To(BeFalse())
+	})
+
 	ginkgo.It("are recorded as not run if the reply to their begin command was lost", func() {
 		// Guards against a key that is blocked for ever although nothing was sent.
 		b := newBed(Timing{})
--- a/entry/livetable.go
+++ b/entry/livetable.go
@@ -8,17 +8,42 @@
 	mu       sync.Mutex
 	live     map[string]*T
 	starting map[string]int // begin commands without a reply
+	// claimed holds the keys for which nothing may begin.
+	claimed map[string]bool
 }
 
 func newLiveTable[T any]() *liveTable[T] {
-	return &liveTable[T]{live: map[string]*T{}, starting: map[string]int{}}
+	return &liveTable[T]{live: map[string]*T{}, starting: map[string]int{}, claimed: map[string]bool{}}
 }
 
-// beginning notes that a begin command is being sent.
-func (l *liveTable[T]) beginning(key string) {
+// beginning notes that a begin command is being sent. It returns false if the key is
+// claimed.
+func (l *liveTable[T]) beginning(key string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.claimed[key] {
+		return false
+	}
 	l.starting[key]++
+	return true
+}
+
+// claim keeps anything from beginning for the key until unclaim. It returns false if
+// something runs or begins, or if the key is claimed already.
+func (l *liveTable[T]) claim(key string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.claimed[key] || l.live[key] != nil || l.starting[key] > 0 {
+		return false
+	}
+	l.claimed[key] = true
+	return true
+}
+
+func (l *liveTable[T]) unclaim(key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.claimed, key)
 }
 
 // begun notes the reply to a begin command; v is nil if there is nothing to run.
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -42,6 +42,9 @@
 	body   []byte
 	digest string
 
+	// verify, if set, is another check right before the dispatch.
+	verify func(context.Context) *errs.Error
+
 	exclude []string
 	crashes int
 	last    *engine.Failure
@@ -210,7 +213,7 @@
 	if fail != nil {
 		return nil, nil, fail
 	}
-	if fail := q.admit(); fail != nil {
+	if fail := q.admit(wait); fail != nil {
 		q.release(asg, structs.OutcomeCancelled, 0)
 		return nil, nil, fail
 	}
@@ -236,7 +239,12 @@
 }
 
 // admit repeats the checks after the wait in the queue, right before the dispatch.
-func (q *plainRequest) admit() *errs.Error {
+func (q *plainRequest) admit(ctx context.Context) *errs.Error {
+	if q.verify != nil {
+		if fail := q.verify(ctx); fail != nil {
+			return fail
+		}
+	}
 	if fail := q.e.admit(q.id); fail != nil {
 		return fail
 	}
--- a/entry/turn.go
+++ b/entry/turn.go
@@ -169,7 +169,7 @@
 func (t *turn) beginOnce(ctx context.Context) (*structs.BeginTurnReply, error) {
 	cctx, cancel := t.e.commitContext(ctx)
 	defer cancel()
-	t.e.turns.beginning(t.key())
+	t.e.turns.beginning(t.key()) // turns are never claimed: their attempts have numbers
 	defer t.e.timeSince(metricBegin, time.Now())
 	b, err := t.e.state.BeginTurn(cctx, t.id.Org, t.beginCommand())
 	if err != nil || b.Recorded {
