Tell the caller of a quarantined request when the quarantine ends

Retry-After was 1 s on the first refusal, which invites resends of a request that is refused for an hour. Also: a panic in one turn ends that turn with a typed error and not the process with all its streams.

go test -race ./entry passes.

--- a/entry/eventlog.go
+++ b/entry/eventlog.go
@@ -41,10 +41,14 @@
 	l.notify()
 }
 
-// close ends the log; fail is nil for a complete and recorded answer.
+// close ends the log; fail is nil for a complete and recorded answer. Only the first
+// call has an effect.
 func (l *eventLog) close(fail *errs.Error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.done {
+		return
+	}
 	l.done = true
 	l.fail = fail
 	l.notify()
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -342,7 +342,12 @@
 // quarantine records that the request crashes targets.
 func (g *generation) quarantine(ctx context.Context) *errs.Error {
 	g.t.e.addFingerprint(ctx, g.digest)
-	return quarantined(&structs.Fingerprint{Digest: g.digest}).WithRun(errs.Ran)
+	return quarantined(newFingerprint(g.digest)).WithRun(errs.Ran)
+}
+
+// newFingerprint returns the fingerprint of a request that crashes targets.
+func newFingerprint(digest string) *structs.Fingerprint {
+	return &structs.Fingerprint{Digest: digest, ExpiresAt: time.Now().Add(quarantineTime).Unix()}
 }
 
 // addFingerprint records in the background that requests with a digest crash targets.
@@ -350,7 +355,7 @@
 	if _, known := e.config.snapshot().quarantined(digest, time.Now()); known {
 		return
 	}
-	f := structs.Fingerprint{Digest: digest, ExpiresAt: time.Now().Add(quarantineTime).Unix()}
+	f := *newFingerprint(digest)
 	e.count(metricQuarantine)
 	e.background(func() {
 		cctx, cancel := e.commitContext(ctx)
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -185,7 +185,7 @@
 // quarantine records that the request crashes targets.
 func (q *plainRequest) quarantine(ctx context.Context) *errs.Error {
 	q.e.addFingerprint(ctx, q.digest)
-	return quarantined(&structs.Fingerprint{Digest: q.digest}).WithRun(errs.Ran)
+	return quarantined(newFingerprint(q.digest)).WithRun(errs.Ran)
 }
 
 // busyStatus reports whether an answer tells that the target could not take the request.
--- a/entry/turn.go
+++ b/entry/turn.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/figlb/figlb/entry/middleware/auth"
 	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/structs"
@@ -105,7 +108,20 @@
 	}
 }
 
+// recoverPanic keeps a fault in one turn, for example on an answer of an unforeseen
+// form, from ending the process with all its streams.
+func (t *turn) recoverPanic() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	t.e.log.Error(errors.Errorf("panic: %v", p), "turn panicked", "program", t.program, "stack", string(debug.Stack()))
+	e := errs.New(errs.Internal, "report the trace id", "the turn failed")
+	t.log.close(e.WithRun(errs.RunUnknown))
+}
+
 func (t *turn) run(ctx context.Context) {
+	defer t.recoverPanic()
 	b, e := t.begin(ctx)
 	if e != nil {
 		t.e.countError(e)
--- a/entry/turn_test.go
+++ b/entry/turn_test.go
@@ -162,7 +162,8 @@
 		b.settle()
 		resp, body := b.chat(wholeBody, nil)
 		Expect(resp.StatusCode).To(Equal(422), body)
-		Expect(errorOf(body)).To(And(HaveKeyWithValue("code", "request_quarantined"), HaveKeyWithValue("run", "ran")))
+		Expect(errorOf(body)).To(And(HaveKeyWithValue("code", "request_quarantined"), HaveKeyWithValue("run", "ran"),
+			HaveKeyWithValue("retry_after_ms", BeNumerically(">", 3500*1000))))
 		Eventually(func() int { return len(b.e.config.snapshot().fingerprints) }, "4s").Should(Equal(1))
 		_, body = b.chat(streamBody, nil)
 		Expect(errorOf(body)).To(And(HaveKeyWithValue("code", "request_quarantined"), HaveKeyWithValue("run", "not_run")))
