Add test/bench: time to first token beside the engine and a durable round

The requirement is a median of under 1 ms plus one durable round at 500 requests/s through 6 entries and 3 members. Nothing measured it so far. The program starts real processes, calls the engine's stand-in directly and through figlb in turn, and times commands that are stored by a majority beside the load.

--- /dev/null
+++ b/test/bench/main.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// bench is one run of the program.
+type bench struct {
+	bin, dir string // folders of the binaries and of the site's files
+	sizes    []int
+	rate     int // per second
+	window   time.Duration
+	rounds   int
+	turns    int
+	bytes    int
+	traced   bool
+	seed     uint64
+}
+
+var measurements = map[string]func(*bench) error{
+	"ttft": (*bench).ttft,
+}
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	b := &bench{}
+	f := flag.NewFlagSet("bench", flag.ContinueOnError)
+	sizes := f.String("sizes", "", "sizes to measure, separated by commas")
+	f.IntVar(&b.rate, "rate", 500, "requests, turns or changes per second")
+	f.DurationVar(&b.window, "window", 5*time.Second, "time of one measurement")
+	f.IntVar(&b.rounds, "rounds", 3, "repetitions")
+	f.IntVar(&b.turns, "turns", 4, "turns of a program")
+	f.IntVar(&b.bytes, "bytes", 1400, "bytes of a message and of an answer")
+	f.BoolVar(&b.traced, "traced", false, "ttft: record spans and print the time of each hop")
+	f.Uint64Var(&b.seed, "seed", 1, "seed of random choices")
+	if err := f.Parse(args); err != nil {
+		return err
+	}
+	measure := measurements[f.Arg(0)]
+	if measure == nil {
+		return errors.Errorf("measurement %q is unknown", f.Arg(0))
+	}
+	for _, s := range strings.Split(*sizes, ",") {
+		if s == "" {
+			continue
+		}
+		n, err := strconv.Atoi(s)
+		if err != nil {
+			return errors.Wrap(err, "-sizes")
+		}
+		b.sizes = append(b.sizes, n)
+	}
+	dir, err := os.MkdirTemp("", "figlb-bench")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	b.dir, b.bin = dir, filepath.Join(dir, "bin")
+	build := exec.Command("go", "build", "-o", b.bin+string(filepath.Separator), "./cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		return errors.Errorf("build: %v: %s", err, out)
+	}
+	fmt.Printf("# %s, load of the machine before: %s\n", strings.Join(args, " "), machineLoad())
+	defer func() { fmt.Printf("# load of the machine after: %s\n", machineLoad()) }()
+	return measure(b)
+}
+
+// sizesOr returns the sizes given, or the defaults.
+func (b *bench) sizesOr(defaults ...int) []int {
+	if len(b.sizes) > 0 {
+		return b.sizes
+	}
+	return defaults
+}
+
+func machineLoad() string {
+	data, _ := os.ReadFile("/proc/loadavg")
+	return strings.Join(strings.Fields(string(data))[:1], "")
+}
--- /dev/null
+++ b/test/bench/site.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/figlb/figlb/internal/testsite"
+	"github.com/figlb/figlb/stateclient"
+)
+
+const (
+	members     = 3
+	callTimeout = 10 * time.Second
+	// settleTime lets a new site elect leaders, start schedulers and read reports.
+	settleTime = 3 * time.Second
+)
+
+// site is a running site with a client of its state members.
+type site struct {
+	*testsite.Site
+	client *stateclient.Client
+	groups int
+}
+
+// start brings up a site with three state members.
+func (b *bench) start(o testsite.Options) (*site, error) {
+	o.Bin, o.Members = b.bin, members
+	dir, err := os.MkdirTemp(b.dir, "site")
+	if err != nil {
+		return nil, err
+	}
+	o.Dir = dir
+	if o.Groups == 0 {
+		o.Groups = 2
+	}
+	if o.Engines == 0 {
+		o.Engines = 1
+	}
+	s, err := testsite.Start(o)
+	if err != nil {
+		return nil, err
+	}
+	client, err := stateclient.New(s.MemberAddrs, o.Groups, nil)
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	time.Sleep(settleTime)
+	return &site{Site: s, client: client, groups: o.Groups}, nil
+}
+
+func (s *site) close() {
+	s.client.Close()
+	s.Close()
+}
+
+// key grants a key of the default organisation that all entries know.
+func (s *site) key() (string, error) {
+	key, _, err := s.GrantKey("acme")
+	if err != nil {
+		return "", err
+	}
+	return key, s.WaitKey(key, callTimeout)
+}
+
+// roles returns which groups each member leads.
+func (s *site) roles() func(name string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	led := map[string][]string{}
+	up, _ := s.client.Members(ctx)
+	for _, m := range up {
+		for _, g := range m.Groups {
+			if g.Leader == m.ID {
+				led[m.ID] = append(led[m.ID], fmt.Sprint(g.Group))
+			}
+		}
+	}
+	return func(name string) string {
+		if len(led[name]) == 0 {
+			return ""
+		}
+		sort.Strings(led[name])
+		return "leads " + strings.Join(led[name], ",")
+	}
+}
+
+// dataBytes returns the size of a member's data folder.
+func (s *site) dataBytes(member int) int64 {
+	var n int64
+	_ = filepath.WalkDir(s.DataDir(member), func(_ string, d os.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return nil
+		}
+		if info, err := d.Info(); err == nil {
+			n += info.Size()
+		}
+		return nil
+	})
+	return n
+}
