--- a/internal/testsite/relay.go
+++ b/internal/testsite/relay.go
@@ -13,6 +13,8 @@
 	ln     net.Listener
 	target string
 	cut    atomic.Bool
+	sent   atomic.Int64 // bytes from the side that connects
+	got    atomic.Int64 // bytes to it
 	mu     sync.Mutex
 	conns  []net.Conn
 }
@@ -40,6 +42,9 @@
 	}
 }
 
+// Bytes returns the bytes that have passed from and to the side that connects.
+func (r *Relay) Bytes() (sent, received int64) { return r.sent.Load(), r.got.Load() }
+
 // Close ends the relay.
 func (r *Relay) Close() {
 	_ = r.ln.Close()
@@ -77,8 +82,8 @@
 		return
 	}
 	r.keep(out)
-	go r.copy(in, out)
-	r.copy(out, in)
+	go r.copy(in, out, &r.got)
+	r.copy(out, in, &r.sent)
 }
 
 func (r *Relay) keep(c net.Conn) {
@@ -87,11 +92,12 @@
 	r.conns = append(r.conns, c)
 }
 
-func (r *Relay) copy(dst, src net.Conn) {
+func (r *Relay) copy(dst, src net.Conn, count *atomic.Int64) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
 		if n > 0 && !r.cut.Load() {
+			count.Add(int64(n))
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				break
 			}
--- a/internal/testsite/site.go
+++ b/internal/testsite/site.go
@@ -235,6 +235,16 @@
 	}
 }
 
+// EntryBytes returns the bytes that an entry has exchanged with the state members through
+// its relays.
+func (s *Site) EntryBytes(i int) (sent, received int64) {
+	for _, r := range s.relays[s.opts.Members+i] {
+		out, in := r.Bytes()
+		sent, received = sent+out, received+in
+	}
+	return sent, received
+}
+
 // CutEntry silently cuts an entry off from all members, or ends the cut.
 func (s *Site) CutEntry(i int, on bool) {
 	for _, r := range s.relays[s.opts.Members+i] {
--- a/test/bench/doc.go
+++ b/test/bench/doc.go
@@ -3,5 +3,5 @@
 // processes on loopback and prints one line for each measurement. It is a program and not
 // a test, because its figures depend on the machine. The results are in docs/CAPACITY.md.
 //
-//	go run ./test/bench [-flags] ttft|polls|config|targets|programs|turns|syncs|buckets|idle
+//	go run ./test/bench [-flags] ttft|polls|config|targets|programs|turns|syncs|buckets|groups|share
 package main
--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -21,13 +21,23 @@
 	window   time.Duration
 	rounds   int
 	turns    int
+	groups   int
 	bytes    int
 	traced   bool
 	seed     uint64
 }
 
 var measurements = map[string]func(*bench) error{
-	"ttft": (*bench).ttft,
+	"ttft":     (*bench).ttft,
+	"polls":    (*bench).polls,
+	"config":   (*bench).config,
+	"turns":    (*bench).turnRates,
+	"groups":   (*bench).groupCounts,
+	"buckets":  (*bench).buckets,
+	"programs": (*bench).programs,
+	"targets":  (*bench).targets,
+	"share":    (*bench).share,
+	"syncs":    (*bench).syncs,
 }
 
 func main() {
@@ -45,6 +55,7 @@
 	f.DurationVar(&b.window, "window", 5*time.Second, "time of one measurement")
 	f.IntVar(&b.rounds, "rounds", 3, "repetitions")
 	f.IntVar(&b.turns, "turns", 4, "turns of a program")
+	f.IntVar(&b.groups, "groups", 4, "organisation groups")
 	f.IntVar(&b.bytes, "bytes", 1400, "bytes of a message and of an answer")
 	f.BoolVar(&b.traced, "traced", false, "ttft: record spans and print the time of each hop")
 	f.Uint64Var(&b.seed, "seed", 1, "seed of random choices")
--- a/test/bench/site.go
+++ b/test/bench/site.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/figlb/figlb/internal/testsite"
 	"github.com/figlb/figlb/stateclient"
 )
@@ -104,3 +107,35 @@
 	})
 	return n
 }
+
+// applied returns the highest applied index of each group.
+func (s *site) applied() map[uint32]uint64 {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	out := map[uint32]uint64{}
+	up, _ := s.client.Members(ctx)
+	for _, m := range up {
+		for _, g := range m.Groups {
+			out[g.Group] = max(out[g.Group], g.Applied)
+		}
+	}
+	return out
+}
+
+// caughtUp returns nil once a member is a voter of each group and has applied what want
+// names.
+func (s *site) caughtUp(member int, want map[uint32]uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	up, _ := s.client.Members(ctx)
+	m, ok := up[s.MemberAddrs[member]]
+	if !ok || len(m.Groups) != len(want) {
+		return errors.New("the member does not answer or has not joined")
+	}
+	for _, g := range m.Groups {
+		if g.Applied < want[g.Group] || g.Incarnations[m.ID] != m.Incarnation || !slices.Contains(g.Voters, m.ID) {
+			return errors.Errorf("group %d has applied %d of %d", g.Group, g.Applied, want[g.Group])
+		}
+	}
+	return nil
+}
