--- a/test/bench/config.go
+++ b/test/bench/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -46,6 +47,9 @@
 	if err := s.grantMany(n); err != nil {
 		return err
 	}
+	if err := s.addTargets(b.extra); err != nil {
+		return err
+	}
 	time.Sleep(settleTime)
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
@@ -63,11 +67,34 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("config organisations=%d load=%s full %d objects, %d bytes, read in %.1f ms; delta of one key %d bytes; in force at both entries after p50 %.0f max %.0f ms (n=%d)\n",
-		n, machineLoad(), len(full.Objects), encodedSize(full), took.Seconds()*1e3, encodedSize(delta), inForce.at(.5), inForce.at(1), inForce.count())
+	fmt.Printf("config organisations=%d targets=%d load=%s full %d objects, %d bytes, read in %.1f ms; delta of one key %d bytes; in force at both entries after p50 %.0f max %.0f ms (n=%d)\n",
+		n, b.extra, machineLoad(), len(full.Objects), encodedSize(full), took.Seconds()*1e3, encodedSize(delta), inForce.at(.5), inForce.at(1), inForce.count())
 	return b.changeRates(s, n)
 }
 
+// addTargets declares targets, one on each host, at addresses that refuse connections.
+func (s *site) addTargets(n int) error {
+	if n == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	q, err := s.client.QueryConfig(ctx, structs.ConfigQuery{Kinds: []structs.Kind{structs.KindSite}, DeclarationOf: structs.CurrentDeclaration})
+	if err != nil {
+		return err
+	}
+	d := q.Declaration
+	for i := range n {
+		host := fmt.Sprintf("gpu-extra-%d", i)
+		d.Hosts = append(d.Hosts, structs.Host{Name: host, Zone: "zone-a"})
+		d.Targets = append(d.Targets, structs.Target{
+			Name: fmt.Sprintf("engine-extra-%d", i), Host: host, Address: fmt.Sprintf("127.0.0.1:%d", 1+i%1000), Model: "m1", Slots: 16, ColdSlots: 2,
+		})
+	}
+	_, err = s.client.ApplyConfig(ctx, "bench", structs.ApplyConfig{PlannedFrom: q.Revision, Declaration: *d})
+	return err
+}
+
 func encodedSize(v any) int {
 	data, _ := msgpack.Marshal(v)
 	return len(data)
@@ -110,6 +137,7 @@
 func (s *site) timeInForce() (*sample, error) {
 	out := &sample{}
 	for i := range inForceTries {
+		time.Sleep(rand.N(pollInterval)) // else each change follows a poll at once
 		text, key := newKey("org-1", i)
 		if err := s.grant(key); err != nil {
 			return nil, err
--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -21,6 +21,7 @@
 	window   time.Duration
 	rounds   int
 	turns    int
+	extra    int // targets
 	groups   int
 	bytes    int
 	traced   bool
@@ -56,9 +57,11 @@
 	f.IntVar(&b.rounds, "rounds", 3, "repetitions")
 	f.IntVar(&b.turns, "turns", 4, "turns of a program")
 	f.IntVar(&b.groups, "groups", 4, "organisation groups")
+	f.IntVar(&b.extra, "targets", 0, "config: declare this many more targets")
 	f.IntVar(&b.bytes, "bytes", 1400, "bytes of a message and of an answer")
 	f.BoolVar(&b.traced, "traced", false, "ttft: record spans and print the time of each hop")
 	f.Uint64Var(&b.seed, "seed", 1, "seed of random choices")
+	parent := f.String("dir", "", "folder for data; with a memory file system a sync costs nothing")
 	if err := f.Parse(args); err != nil {
 		return err
 	}
@@ -76,7 +79,7 @@
 		}
 		b.sizes = append(b.sizes, n)
 	}
-	dir, err := os.MkdirTemp("", "figlb-bench")
+	dir, err := os.MkdirTemp(*parent, "figlb-bench")
 	if err != nil {
 		return err
 	}
@@ -86,8 +89,9 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		return errors.Errorf("build: %v: %s", err, out)
 	}
-	fmt.Printf("# %s, load of the machine before: %s\n", strings.Join(args, " "), machineLoad())
-	defer func() { fmt.Printf("# load of the machine after: %s\n", machineLoad()) }()
+	fmt.Printf("# %s\n", strings.Join(args, " "))
+	fmt.Println("# before:", b.machine())
+	defer func() { fmt.Println("# after:", b.machine()) }()
 	return measure(b)
 }
 
@@ -103,3 +107,25 @@
 	data, _ := os.ReadFile("/proc/loadavg")
 	return strings.Join(strings.Fields(string(data))[:1], "")
 }
+
+// syncProbes is the number of syncs that are timed before and after a measurement.
+const syncProbes = 40
+
+// machine describes what else uses the machine: its load and the time of a sync of 4 KB.
+func (b *bench) machine() string {
+	f, err := os.Create(filepath.Join(b.dir, "probe"))
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = f.Close() }()
+	var out sample
+	for range syncProbes {
+		start := time.Now()
+		_, err := f.Write(make([]byte, 4096))
+		if err == nil {
+			err = f.Sync()
+		}
+		out.add(time.Since(start), err)
+	}
+	return fmt.Sprintf("load average %s, sync of 4 KB p50 %.2f p95 %.2f ms", machineLoad(), out.at(.5), out.at(.95))
+}
