--- a/internal/testsite/operate.go
+++ b/internal/testsite/operate.go
@@ -17,6 +17,9 @@
 func (s *Site) Ctl(args ...string) (string, error) {
 	cmd := exec.Command(filepath.Join(s.opts.Bin, "figlbctl"), args...)
 	cmd.Env = append(cmd.Environ(), "FIGLB_STATE="+strings.Join(s.MemberAddrs, ","), fmt.Sprintf("FIGLB_GROUPS=%d", s.opts.Groups))
+	if s.opts.TLS {
+		cmd.Env = append(cmd.Env, "FIGLB_TLS="+s.certDir())
+	}
 	var out, errOut bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &out, &errOut
 	if err := cmd.Run(); err != nil {
@@ -25,6 +28,37 @@
 	return out.String(), nil
 }
 
+// certDir is the folder of the site's certificates.
+func (s *Site) certDir() string { return filepath.Join(s.opts.Dir, "certs") }
+
+// issueCertificates makes an authority and a certificate for each role.
+func (s *Site) issueCertificates() error {
+	if !s.opts.TLS {
+		return nil
+	}
+	calls := [][]string{
+		{"cert", "init", "-dir", s.certDir(), "test"},
+		{"cert", "issue", "-dir", s.certDir(), "-ip", "127.0.0.1", "state", "state"},
+		{"cert", "issue", "-dir", s.certDir(), "-ip", "127.0.0.1", "entry", "entry"},
+		{"cert", "issue", "-dir", s.certDir(), "operator", "operator"},
+	}
+	for _, args := range calls {
+		if _, err := s.Ctl(args...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// tlsSection returns the settings of a process with a role, empty without TLS.
+func (s *Site) tlsSection(role string) string {
+	if !s.opts.TLS {
+		return ""
+	}
+	base := filepath.Join(s.certDir(), role)
+	return fmt.Sprintf("[tls]\nca = %s\ncert = %s.pem\nkey = %s.key\n", filepath.Join(s.certDir(), "ca.pem"), base, base)
+}
+
 // Declaration returns the base and overlay files of the site.
 func (s *Site) Declaration() (base, overlay string) {
 	var b, o strings.Builder
--- a/internal/testsite/site.go
+++ b/internal/testsite/site.go
@@ -37,6 +37,8 @@
 	DrainNotice, DrainDeadline time.Duration
 	// Relays puts a relay into each connection to a state member, so that it can be cut.
 	Relays bool
+	// TLS secures the connections between the site's processes with certificates of its own.
+	TLS bool
 	// StateExtra and EntryExtra are more lines for the [state] and [entry] sections.
 	StateExtra, EntryExtra string
 }
@@ -82,7 +84,7 @@
 func Start(o Options) (*Site, error) {
 	o.defaults()
 	s := &Site{opts: o}
-	steps := []func() error{s.startTargets, s.startMembers, s.applyDeclaration, s.startEntries}
+	steps := []func() error{s.issueCertificates, s.startTargets, s.startMembers, s.applyDeclaration, s.startEntries}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			s.Close()
@@ -161,8 +163,8 @@
 		return err
 	}
 	for i := range n {
-		text := fmt.Sprintf("[state]\nid = %s\nzone = %s\nlisten = %s\nadmin = %s\ndata = %s\nmembers = %s\ngroups = %d\n%s\n",
-			memberID(i), s.zone(i), s.MemberAddrs[i], addrs[n+i], s.DataDir(i), s.memberList(i), s.opts.Groups, s.opts.StateExtra)
+		text := fmt.Sprintf("[state]\nid = %s\nzone = %s\nlisten = %s\nadmin = %s\ndata = %s\nmembers = %s\ngroups = %d\n%s\n%s",
+			memberID(i), s.zone(i), s.MemberAddrs[i], addrs[n+i], s.DataDir(i), s.memberList(i), s.opts.Groups, s.opts.StateExtra, s.tlsSection("state"))
 		path, err := s.write(memberID(i)+".ini", text)
 		if err != nil {
 			return err
@@ -279,8 +281,8 @@
 		state = append(state, s.route(s.opts.Members+i, to))
 	}
 	id := fmt.Sprintf("entry-%d", i+1)
-	text := fmt.Sprintf("[entry]\nid = %s\nzone = %s\nlisten = %s\nadmin = %s\nstate = %s\ngroups = %d\ndrain_notice = %s\ndrain_deadline = %s\n%s\n",
-		id, s.zone(i), listen, admin, strings.Join(state, ","), s.opts.Groups, s.opts.DrainNotice, s.opts.DrainDeadline, s.opts.EntryExtra)
+	text := fmt.Sprintf("[entry]\nid = %s\nzone = %s\nlisten = %s\nadmin = %s\nstate = %s\ngroups = %d\ndrain_notice = %s\ndrain_deadline = %s\n%s\n%s",
+		id, s.zone(i), listen, admin, strings.Join(state, ","), s.opts.Groups, s.opts.DrainNotice, s.opts.DrainDeadline, s.opts.EntryExtra, s.tlsSection("entry"))
 	path, err := s.write(id+".ini", text)
 	if err != nil {
 		return err
