entry: say 'not run' of a named request only after a look at its record

Ruled out: a double dispatch (the order was executed once); a false record (the refusal came before any record was read). Change: refusals made without reading the record are 'unknown' for requests with an Idempotency-Key or a Figlb-Turn. Conclusion: 'not run' is said of a key only where it is proved for the key.

--- a/entry/reply/reply.go
+++ b/entry/reply/reply.go
@@ -42,8 +42,32 @@
 	return out
 }
 
+// refusedUnseen are the codes of refusals that are made without a look at the records of
+// calls and turns.
+var refusedUnseen = map[errs.Code]bool{
+	errs.ConfigUnconfirmed: true,
+	errs.Unavailable:       true,
+	errs.Draining:          true,
+	errs.Unauthorized:      true,
+	errs.KeyRevoked:        true,
+	errs.BodyTimeout:       true,
+	errs.BodyTooLarge:      true,
+}
+
+// runState returns what may be said about whether the request was run. A request with an
+// idempotency key or a turn number may be a resend of one that was run; "not run" is then
+// proved only by its record.
+func runState(r *http.Request, e *errs.Error) errs.RunState {
+	named := r.Header.Get("Idempotency-Key") != "" || r.Header.Get("Figlb-Turn") != ""
+	if e.Run == errs.NotRun && named && refusedUnseen[e.Code] {
+		return errs.RunUnknown
+	}
+	return e.Run
+}
+
 // Error writes e with its status and Retry-After.
 func Error(w http.ResponseWriter, r *http.Request, e *errs.Error) {
+	e = e.WithRun(runState(r, e))
 	if e.RetryAfter > 0 {
 		w.Header().Set("Retry-After", retryAfterSeconds(e.RetryAfter))
 	}
