stateclient: commands wait for the rate for 3 s after a stall

Cause: requests that waited for a new leader reach the bucket at once and were refused although they were sent at 60% of the rate. Ruled out: debiting by the time of arrival; a burst of more than the declared one would then run at once. Change: after a command was delayed by over 100 ms, commands of the client wait up to 3 s instead of being refused. Entries poll the configuration twice a second, so that a cut-off leader and an election fit into the 3 s validity.

--- a/entry/follower.go
+++ b/entry/follower.go
@@ -12,7 +12,9 @@
 )
 
 const (
-	defaultPollInterval = time.Second
+	// defaultPollInterval leaves time for a poll that hangs at a cut-off leader and for an
+	// election before the validity of the last poll ends.
+	defaultPollInterval = 500 * time.Millisecond
 	// defaultConfirmValidity is the time after which a confirmed poll no longer proves
 	// that the configuration is current; it leaves 1 s of the 4 s within which a
 	// change must be in force everywhere.
--- a/stateclient/client.go
+++ b/stateclient/client.go
@@ -40,6 +40,8 @@
 	mu      sync.Mutex
 	conns   map[string]*wire.Client
 	leaders map[uint32]string // address by group
+	// stalledAt is when a command was last delayed.
+	stalledAt time.Time
 	// silent holds the members that have not answered in time, with the end of the mark.
 	silent map[string]time.Time
 	probes map[string]*probe
--- a/stateclient/org.go
+++ b/stateclient/org.go
@@ -2,15 +2,64 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/structs"
 )
 
-// org sends a command to the group of its organisation.
+const (
+	// stallThreshold is the time after which a refusal counts as delayed by figlb: a
+	// member that works answers within milliseconds.
+	stallThreshold = 100 * time.Millisecond
+	// maxRateWait bounds how long a command waits for its organisation's rate, and for how
+	// long after a delay commands wait.
+	maxRateWait = 3 * time.Second
+	minRateWait = 5 * time.Millisecond
+)
+
+// org sends a command to the group of its organisation. What waited for a new leader
+// arrives all at once and would exceed the burst although it was sent within the rate;
+// therefore, for a while after a delay, commands wait for the rate instead of being refused,
+// also those that were not delayed but meet the others at the bucket.
 func (c *Client) org(ctx context.Context, method string, cmd structs.OrgCommand) (*structs.OrgReply, error) {
+	start := time.Now()
 	id := requestID(ctx)
+	for {
+		sent := time.Now()
+		r, err := c.orgOnce(ctx, method, cmd, id)
+		if time.Since(sent) >= stallThreshold {
+			c.noteStall()
+		}
+		waited := time.Since(start)
+		if !errs.Is(err, errs.RateLimited) || !c.stalledLately() || waited > maxRateWait {
+			return r, err
+		}
+		pause := max(errs.From(err).RetryAfter, minRateWait)
+		if pause > maxRateWait-waited || !sleep(ctx, pause) {
+			return r, err
+		}
+		// The refused command stays refused under its id.
+		id = requestIdentity{id: NewRequestID()}
+	}
+}
+
+// noteStall records that a command was delayed now.
+func (c *Client) noteStall() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stalledAt = time.Now()
+}
+
+func (c *Client) stalledLately() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.stalledAt.IsZero() && time.Since(c.stalledAt) < maxRateWait
+}
+
+func (c *Client) orgOnce(ctx context.Context, method string, cmd structs.OrgCommand, id requestIdentity) (*structs.OrgReply, error) {
 	cmd.RequestID = id.id
 	return call[structs.OrgReply](ctx, c, &request{
 		group:  c.OrgGroup(cmd.Org),
