Look up a call before a quarantine refuses it

A resend of a call that had been run was refused as not run if its content had been quarantined in between: the check came before the begin command. The check right before the dispatch remains. A named request for a service that is no longer declared is refused as unknown for the same reason.

--- a/entry/call.go
+++ b/entry/call.go
@@ -108,10 +108,6 @@
 }
 
 func (c *call) run(ctx context.Context) {
-	if fail := c.q.checkQuarantine(); fail != nil {
-		c.close(nil, fail)
-		return
-	}
 	until := time.Now().Add(c.q.timeout() + callWaitMargin)
 	for {
 		b, err := c.begin(ctx)
--- a/entry/call_test.go
+++ b/entry/call_test.go
@@ -138,6 +138,24 @@
 		Expect(body).To(Equal(`{"order":7}`))
 	})
 
+	ginkgo.It("are looked up before a quarantine refuses them", func() {
+		// Guards against a "not run" for a call that was run before its content was
+		// quarantined.
+		b := newBed(Timing{})
+		var runs atomic.Int32
+		b.target("o1", "", "orders", func(w http.ResponseWriter, _ *http.Request) { runs.Add(1); w.WriteHeader(201) })
+		b.service(orders)
+		resp, _ := b.do("POST", "/orders", "7", pay)
+		Expect(resp.StatusCode).To(Equal(201))
+		b.e.addFingerprint(context.Background(), b.state.calls["oclpay-1"].Digest)
+		Eventually(func() int { return len(b.e.config.snapshot().fingerprints) }, "4s").Should(Equal(1))
+		resp, _ = b.do("POST", "/orders", "7", pay)
+		Expect(resp.StatusCode).To(Equal(201))
+		_, body := b.do("POST", "/orders", "7", header{"Idempotency-Key": "pay-2"})
+		Expect(errorOf(body)).To(And(HaveKeyWithValue("code", "request_quarantined"), HaveKeyWithValue("run", "not_run")))
+		Expect(runs.Load()).To(BeEquivalentTo(1))
+	})
+
 	ginkgo.It("return no result before it is recorded", func() {
 		// Guards against a result that a caller has seen and that a resend cannot get.
 		b := newBed(Timing{CommitWait: 100 * time.Millisecond})
--- a/entry/reply/reply.go
+++ b/entry/reply/reply.go
@@ -52,6 +52,9 @@
 	errs.KeyRevoked:        true,
 	errs.BodyTimeout:       true,
 	errs.BodyTooLarge:      true,
+	// The service may have been declared when the request was run.
+	errs.UnknownModel: true,
+	errs.NotFound:     true,
 }
 
 // runState returns what may be said about whether the request was run. A request with an
--- a/entry/reply/reply_test.go
+++ b/entry/reply/reply_test.go
@@ -24,6 +24,7 @@
 		{"a named call may have been run before", "Idempotency-Key", errs.ConfigUnconfirmed, errs.RunUnknown},
 		{"a named turn may have been run before", "Figlb-Turn", errs.Unavailable, errs.RunUnknown},
 		{"a withdrawn key says nothing about the call", "Idempotency-Key", errs.KeyRevoked, errs.RunUnknown},
+		{"the service may have been declared before", "Idempotency-Key", errs.NotFound, errs.RunUnknown},
 		{"the record was read: the proof holds", "Idempotency-Key", errs.RateLimited, errs.NotRun},
 		{"the record was read: the proof holds", "Idempotency-Key", errs.NoTarget, errs.NotRun},
 	}
