--- a/replica/applier.go
+++ b/replica/applier.go
@@ -27,6 +27,7 @@
 	// Owned by the applying goroutine.
 	sinceEntries uint64
 	sinceBytes   uint64
+	lastBytes    uint64 // size of the latest snapshot
 }
 
 // task is a batch of committed entries or a snapshot that replaces the state.
@@ -171,7 +172,7 @@
 		reply = a.sm.Apply(e.Index, e.Stamp, e.Data)
 	}
 	a.sinceEntries++
-	a.sinceBytes += uint64(len(e.Data))
+	a.sinceBytes += uint64(len(e.Data)) + entryOverhead
 	a.mu.Lock()
 	a.applied = e.Index
 	ex, ok := a.expected[e.Index]
@@ -211,7 +212,7 @@
 		a.g.inc.r.fail(err)
 		return false
 	}
-	a.sinceEntries, a.sinceBytes = 0, 0
+	a.sinceEntries, a.sinceBytes, a.lastBytes = 0, 0, uint64(len(in.Data))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.applied = in.Meta.Index
@@ -226,12 +227,28 @@
 	a.signal()
 }
 
-// maybeSnapshot takes a snapshot when enough has been applied since the last one, and
-// stores it on another goroutine. One is stored at a time.
-func (a *applier) maybeSnapshot() {
+const (
+	// entryOverhead is the size of an entry in the log without its command, in bytes.
+	entryOverhead = 64
+	// snapshotShare bounds what snapshots add to the bytes written: the log has grown by
+	// at least this part of the latest snapshot before the next one is taken.
+	snapshotShare = 2
+)
+
+// snapshotDue reports whether enough has been applied since the latest snapshot.
+func (a *applier) snapshotDue() bool {
 	cfg := &a.g.inc.r.cfg
+	if a.sinceBytes < a.lastBytes/snapshotShare {
+		return false
+	}
+	return a.sinceEntries >= cfg.SnapshotEntries || a.sinceBytes >= cfg.SnapshotBytes
+}
+
+// maybeSnapshot takes a snapshot when one is due or wanted, and stores it on another
+// goroutine. One is stored at a time.
+func (a *applier) maybeSnapshot() {
 	a.mu.Lock()
-	due := a.snapshotWanted || a.sinceEntries >= cfg.SnapshotEntries || a.sinceBytes >= cfg.SnapshotBytes
+	due := a.snapshotWanted || a.snapshotDue()
 	if !due || a.snapshotting {
 		a.mu.Unlock()
 		return
@@ -246,6 +263,7 @@
 		a.g.inc.r.fail(err)
 		return
 	}
+	a.lastBytes = uint64(len(data))
 	a.g.inc.spawn(func(ctx context.Context) {
 		a.g.saveSnapshot(ctx, index, data)
 		a.mu.Lock()
--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -4,13 +4,18 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/raft"
+	"github.com/figlb/figlb/wal"
 )
 
 // Bounds of the requirements.
@@ -131,6 +136,46 @@
 		c.expectAll(want, c.nodes...)
 	})
 
+	It("catches up through a snapshot of many chunks (guards against members that cannot join a large group)", func() {
+		c := startCluster(3, func(cfg *Config) { cfg.SnapshotBytes, cfg.RetainEntries = 1<<20, 2 })
+		nd := c.others(c.waitLeader(leaderBound))[0]
+		nd.kill()
+		nd.wipe()
+		var want []string
+		for i := range 40 {
+			want = append(want, fmt.Sprint(i, strings.Repeat("x", 128<<10)))
+			c.propose(want[i])
+		}
+		nd.start()
+		c.waitVoter(nd)
+		Eventually(func() bool { return slices.Equal(nd.sm.all(), want) }, repairBound).Should(BeTrue())
+	})
+
+	It("stops a member whose sync fails (guards against acknowledgements of what is not on disk)", func() {
+		fs := &failingFS{}
+		c := startCluster(3, func(cfg *Config) {
+			if cfg.ID == "m0" {
+				cfg.FS = fs
+			}
+		})
+		nd := c.nodes[0]
+		fs.fail.Store(true)
+		Eventually(func() bool {
+			if l := c.leader(); l != nil {
+				_ = l.propose("x")
+			}
+			select {
+			case err := <-nd.r.Failed():
+				return err != nil
+			default:
+				return false
+			}
+		}, 5*time.Second, 10*time.Millisecond).Should(BeTrue())
+		Eventually(func() bool { return nd.r.IsLeader(testGroup) }, time.Second).Should(BeFalse())
+		want := c.proposeMany("a", 5)
+		c.expectAll(want, c.others(nd)...)
+	})
+
 	It("removes a member on request and does not add it again (guards against a removed member that returns)", func() {
 		c := startCluster(4, nil)
 		nd := c.others(c.waitLeader(leaderBound))[0]
@@ -151,6 +196,34 @@
 	return raft.Peer{}
 }
 
+// failingFS fails all syncs while fail is set.
+type failingFS struct {
+	memoryFS
+	fail atomic.Bool
+}
+
+func (f *failingFS) Create(path string) (wal.File, error) {
+	file, err := f.memoryFS.Create(path)
+	return failingFile{File: file, fs: f}, err
+}
+
+func (f *failingFS) Append(path string) (wal.File, error) {
+	file, err := f.memoryFS.Append(path)
+	return failingFile{File: file, fs: f}, err
+}
+
+type failingFile struct {
+	wal.File
+	fs *failingFS
+}
+
+func (f failingFile) Sync() error {
+	if f.fs.fail.Load() {
+		return errors.New("sync failed")
+	}
+	return f.File.Sync()
+}
+
 func (c *cluster) waitVoter(nd *node) {
 	Eventually(func() bool {
 		l := c.leader()
--- a/replica/group.go
+++ b/replica/group.go
@@ -94,6 +94,7 @@
 		Entries:        st.Entries,
 	})
 	g.applier = newApplier(g, sm, st.Snapshot.Index)
+	g.applier.lastBytes = uint64(len(st.SnapshotData))
 	g.publish()
 	return g
 }
--- a/replica/incarnation.go
+++ b/replica/incarnation.go
@@ -101,7 +101,6 @@
 		if err := sm.Restore(data); err != nil {
 			return errors.Wrapf(err, "restore the state of group %d", id)
 		}
-		st.SnapshotData = nil
 		inc.groups[id] = newGroup(inc, id, sm, st, inc.fresh)
 	}
 	return nil
--- a/wal/fs.go
+++ b/wal/fs.go
@@ -91,6 +91,9 @@
 
 // makeDir creates a directory and makes its entry in the parent durable.
 func makeDir(fs FS, path string) error {
+	if _, err := os.Stat(path); err == nil {
+		return nil
+	}
 	if err := os.MkdirAll(path, dirMode); err != nil {
 		return errors.WithStack(err)
 	}
