--- /dev/null
+++ b/cmd/figlb-load/main.go
@@ -0,0 +1,110 @@
+// Command figlb-load drives agent programs against entries of figlb and reports what
+// their callers saw. It exits with 1 if a promise was broken and with 2 if it could not
+// run.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"github.com/figlb/figlb/load"
+)
+
+const (
+	exitViolation = 1
+	exitFailure   = 2
+)
+
+func main() {
+	ok, err := run(os.Args[1:])
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		os.Exit(exitFailure)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "figlb-load:", err)
+		os.Exit(exitFailure)
+	case !ok:
+		os.Exit(exitViolation)
+	}
+}
+
+// run returns false if a promise was broken.
+func run(args []string) (bool, error) {
+	f := flag.NewFlagSet("figlb-load", flag.ContinueOnError)
+	file := f.String("config", "", "INI file with [load], [organisation NAME] and [kind NAME]")
+	entries := f.String("entries", "", "base URLs of the entries, separated by commas")
+	direct := f.String("direct", "", "base URLs of model engines to call without figlb")
+	executions := f.String("executions", "", "base URLs of order stand-ins, to check executions")
+	seed := f.Int64("seed", 0, "seed of the arrivals and programs")
+	duration := f.Duration("duration", 0, "time in which programs arrive")
+	jsonFile := f.String("json", "", "write the result to this file")
+	compare := f.Bool("compare", false, "print two result files, given as arguments, side by side")
+	if err := f.Parse(args); err != nil {
+		return false, err
+	}
+	if *compare {
+		return true, compareFiles(f.Args())
+	}
+	cfg := load.Defaults()
+	if *file != "" {
+		var err error
+		if cfg, err = load.ReadFile(*file); err != nil {
+			return false, err
+		}
+	}
+	setList(&cfg.Entries, *entries)
+	setList(&cfg.Entries, *direct)
+	setList(&cfg.Executions, *executions)
+	cfg.Direct = cfg.Direct || *direct != ""
+	if *seed != 0 {
+		cfg.Seed = *seed
+	}
+	if *duration != 0 {
+		cfg.Duration = *duration
+	}
+	return drive(cfg, *jsonFile)
+}
+
+func compareFiles(files []string) error {
+	const two = 2
+	if len(files) != two {
+		return errors.Errorf("-compare got %d files; give two", len(files))
+	}
+	a, err := load.ReadResult(files[0])
+	if err != nil {
+		return err
+	}
+	b, err := load.ReadResult(files[1])
+	if err != nil {
+		return err
+	}
+	load.Compare(os.Stdout, files[0], files[1], a, b)
+	return nil
+}
+
+func setList(out *[]string, text string) {
+	if text != "" {
+		*out = strings.Split(text, ",")
+	}
+}
+
+func drive(cfg load.Config, jsonFile string) (bool, error) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	res, err := load.Run(ctx, cfg)
+	if err != nil {
+		return false, err
+	}
+	res.WriteTable(os.Stdout)
+	if jsonFile != "" {
+		err = res.WriteFile(jsonFile)
+	}
+	return res.OK(), err
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
@@ -301,6 +302,18 @@
 	return r.now() + g.view.Load().logOffset
 }
 
+// Incarnation returns the identity of the data directory's life, in hexadecimal; empty
+// while it is replaced.
+func (r *Replica) Incarnation() string {
+	inc := r.incarnation()
+	if inc == nil {
+		return ""
+	}
+	return formatIncarnation(inc.self.Incarnation)
+}
+
+func formatIncarnation(n uint64) string { return strconv.FormatUint(n, 16) }
+
 // Status returns the state of each group as this member sees it, in group order.
 func (r *Replica) Status() []structs.GroupStatus {
 	inc := r.incarnation()
@@ -318,7 +331,9 @@
 func (g *group) describe(id uint32) structs.GroupStatus {
 	st := g.status.Load()
 	s := structs.GroupStatus{Group: id, Term: st.Term, Leader: st.Leader.ID, Applied: g.applier.appliedIndex()}
+	s.Incarnations = map[string]string{}
 	for _, m := range st.Config.Members {
+		s.Incarnations[m.Peer.ID] = formatIncarnation(m.Peer.Incarnation)
 		if m.Voter {
 			s.Voters = append(s.Voters, m.Peer.ID)
 			continue
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,141 @@
+package engine
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/figlb/figlb/standin/server"
+)
+
+// Stats are the counters of an engine. They survive a crash.
+type Stats struct {
+	Requests        int   `json:"requests"` // chat completions
+	PromptTokens    int64 `json:"prompt_tokens"`
+	CachedTokens    int64 `json:"cached_tokens"`
+	GeneratedTokens int64 `json:"generated_tokens"`
+	// RecomputedTokens counts history tokens, which an engine had processed or generated
+	// before, that were not in the cache.
+	RecomputedTokens int64 `json:"recomputed_tokens"`
+	Cancelled        int   `json:"cancelled"`
+	Continued        int   `json:"continued"`
+	MaxConcurrent    int   `json:"max_concurrent"`
+	// ColdOverloads counts requests that arrived at a cold engine above its limit.
+	ColdOverloads int `json:"cold_overloads"`
+	Crashes       int `json:"crashes"`
+	// StaleOrders counts orders with an old fencing number that were carried out.
+	StaleOrders int      `json:"stale_orders"`
+	Orders      []Order  `json:"orders"`
+	Sessions    []string `json:"sessions"` // that hold KV cache
+	server.Traffic
+}
+
+// Engine is a model engine that listens on one address.
+type Engine struct {
+	*server.Server
+	cfg    Config
+	events *eventLog
+	wake   chan struct{}
+	stop   chan struct{}
+	done   sync.WaitGroup
+
+	mu        sync.Mutex
+	nextJob   uint64
+	queue     waiting
+	running   []*job
+	cache     *kvCache
+	stats     Stats
+	samples   []Load // oldest first; the first one is reported
+	coldUntil time.Time
+	coldSlots int
+	fencing   uint64
+}
+
+// Start starts an engine that listens on addr, ip:port.
+func Start(addr string, cfg Config) (*Engine, error) {
+	e := &Engine{
+		Server: server.New(chatPath),
+		cfg:    cfg,
+		events: newEventLog(cfg.EventLag, cfg.EventLoss),
+		wake:   make(chan struct{}, 1),
+		stop:   make(chan struct{}),
+	}
+	e.Downtime = cfg.CrashDowntime
+	e.OnCrash = e.crashed
+	e.OnRestart = e.reset
+	e.routes()
+	e.reset()
+	if err := e.Listen(addr); err != nil {
+		return nil, err
+	}
+	e.done.Go(e.run)
+	e.done.Go(e.sampleLoad)
+	return e, nil
+}
+
+func (e *Engine) routes() {
+	e.Handle("POST "+chatPath, e.chat)
+	e.Handle("GET /load", e.getLoad)
+	e.Handle("GET /v1/cache/events", e.getEvents)
+	e.Handle("DELETE /v1/sessions/{id}", e.deleteSession)
+	e.Handle("POST /v1/kv/export", e.exportKV)
+	e.Handle("POST /v1/kv/import", e.importKV)
+	e.Handle("POST /v1/orders", e.order)
+	e.Handle("POST /admin/cold", e.adminCold)
+	server.HandleStats(e.Server, e.Stats)
+}
+
+// Close stops the engine.
+func (e *Engine) Close() {
+	e.Server.Close()
+	close(e.stop)
+	e.done.Wait()
+}
+
+// reset puts the engine into the state after a start: empty, and cold for a while.
+func (e *Engine) reset() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.forgetJobs()
+	e.cache = newCache(e.cfg.CacheTokens, e.events.add)
+	e.events.restart()
+	e.coldSlots = e.cfg.ColdSlots
+	e.coldUntil = time.Now().Add(e.cfg.ColdFor)
+	e.samples = []Load{e.currentLoad()}
+}
+
+func (e *Engine) crashed() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stats.Crashes++
+	e.forgetJobs()
+}
+
+func (e *Engine) forgetJobs() {
+	for _, j := range e.queue {
+		j.index = -1
+	}
+	e.queue, e.running = nil, nil
+}
+
+// MakeCold makes the engine cold for a time, with a limit of slots requests.
+func (e *Engine) MakeCold(d time.Duration, slots int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.coldUntil = time.Now().Add(d)
+	e.coldSlots = slots
+}
+
+func (e *Engine) isCold() bool { return time.Now().Before(e.coldUntil) }
+
+// Stats returns the counters.
+func (e *Engine) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.stats
+	s.Orders = slices.Clone(e.stats.Orders)
+	s.Sessions = slices.Sorted(maps.Keys(e.cache.entries))
+	s.Traffic = e.Traffic()
+	return s
+}
--- /dev/null
+++ b/statemachine/configsm/query.go
@@ -0,0 +1,161 @@
+package configsm
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/figlb/figlb/structs"
+)
+
+// Revision returns the current revision.
+func (m *Machine) Revision() uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.revision
+}
+
+// Delta returns the objects changed after a revision, deletions included, in order of
+// their revision. Full tells that they are the whole configuration instead: the
+// revision is too old for a delta, or does not exist here.
+func (m *Machine) Delta(since uint64) (rev uint64, objects []structs.Object, full bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	rev = m.state.revision
+	if since == rev {
+		return rev, nil, false
+	}
+	full = since == 0 || since > rev || since < m.state.deltaFrom
+	for _, o := range m.state.objects {
+		if full && o.Deleted || !full && o.ModRev <= since {
+			continue
+		}
+		objects = append(objects, o)
+	}
+	slices.SortFunc(objects, compareObjects)
+	return rev, objects, full
+}
+
+// Objects returns the revision and the objects of the given kinds (none: all) in order
+// of kind and name.
+func (m *Machine) Objects(kinds ...structs.Kind) (rev uint64, objects []structs.Object) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, o := range m.state.objects {
+		if !o.Deleted && (len(kinds) == 0 || slices.Contains(kinds, o.Kind)) {
+			objects = append(objects, o)
+		}
+	}
+	slices.SortFunc(objects, func(a, b structs.Object) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return m.state.revision, objects
+}
+
+// Object returns one object.
+func (m *Machine) Object(kind structs.Kind, name string) (structs.Object, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.live(kind, name)
+}
+
+// History returns the kept changes and declarations, oldest first.
+func (m *Machine) History() []structs.RevisionInfo {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	out := slices.Clone(m.state.history)
+	oldest := uint64(0)
+	if len(out) > 0 {
+		oldest = out[0].Revision
+	}
+	for _, d := range m.state.declared {
+		if d.Info.Revision < oldest {
+			out = append(out, d.Info)
+		}
+	}
+	slices.SortFunc(out, func(a, b structs.RevisionInfo) int { return cmp.Compare(a.Revision, b.Revision) })
+	return out
+}
+
+// Declaration returns the declaration of a revision.
+func (m *Machine) Declaration(rev uint64) (*structs.Declaration, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	d, err := m.state.declaration(rev)
+	if err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Current returns the declaration in force, nil if none has been applied.
+func (m *Machine) Current() (*structs.Declaration, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if len(m.state.declared) == 0 {
+		return nil, nil
+	}
+	return decodeDeclaration(m.state.declared[len(m.state.declared)-1].Data)
+}
+
+// Orders returns the kept orders, oldest first.
+func (m *Machine) Orders() []structs.EngineOrder {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.Clone(m.state.orders)
+}
+
+// Target returns a declared target.
+func (m *Machine) Target(name string) (structs.Target, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var t structs.Target
+	o, ok := m.state.live(structs.KindTarget, name)
+	if ok {
+		decode(o, &t)
+	}
+	return t, ok
+}
+
+// EnginesOf returns the model engines that serve a service, in order of their names. If
+// the service is not declared any more, it returns all engines.
+func (m *Machine) EnginesOf(service string) []structs.Target {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var v structs.Service
+	if o, ok := m.state.live(structs.KindService, service); ok {
+		decode(o, &v)
+	}
+	var out []structs.Target
+	for id, o := range m.state.objects {
+		if id.kind != structs.KindTarget || o.Deleted {
+			continue
+		}
+		var t structs.Target
+		decode(o, &t)
+		if t.Model != "" && (v.Model == "" || t.Model == v.Model) {
+			out = append(out, t)
+		}
+	}
+	slices.SortFunc(out, func(a, b structs.Target) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// ExpiredFingerprints returns the digests whose quarantine has ended at wall-clock time
+// now, Unix seconds.
+func (m *Machine) ExpiredFingerprints(now int64) []string {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var out []string
+	for id, o := range m.state.objects {
+		if id.kind != structs.KindFingerprint || o.Deleted {
+			continue
+		}
+		var f structs.Fingerprint
+		decode(o, &f)
+		if f.ExpiresAt <= now {
+			out = append(out, f.Digest)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/structs/configcmd.go
+++ b/structs/configcmd.go
@@ -17,6 +17,7 @@
 	AcquireIssuer   *AcquireIssuer   `msgpack:"i,omitempty"`
 	SubmitOrder     *EngineOrder     `msgpack:"o,omitempty"`
 	UpdateOrder     *UpdateOrder     `msgpack:"p,omitempty"`
+	Restore         *Restore         `msgpack:"r,omitempty"`
 }
 
 // ApplyConfig replaces the declared objects.
@@ -91,6 +92,9 @@
 	Entry       EntryInfo `msgpack:"e"`
 	Incarnation string    `msgpack:"i"`
 	Revision    uint64    `msgpack:"r"`
+	// LiveHash is the reply's LiveHash that came with the list of live entries the sender
+	// has; 0: none. Package stateclient fills it in.
+	LiveHash uint64 `msgpack:"l,omitempty"`
 }
 
 // EntryInfo describes a live entry.
@@ -109,10 +113,18 @@
 	// Full tells that Objects is the whole configuration: the poll's revision was too
 	// old for a delta.
 	Full bool `msgpack:"f,omitempty"`
-	// Live lists the incarnations of entries that polled within the membership timeout.
+	// Live lists the incarnations of entries that polled within the membership timeout. It
+	// is empty while a new leader may not know them all: then none counts as dead.
 	Live []string `msgpack:"l,omitempty"`
+	// LiveHash identifies the list; 0 for the empty list. SameLive tells that the list is
+	// the one that the poll named, and is left out: with 370 entries it takes 16 KB.
+	LiveHash uint64 `msgpack:"h,omitempty"`
+	SameLive bool   `msgpack:"s,omitempty"`
 }
 
+// CurrentDeclaration as ConfigQuery.DeclarationOf asks for the declaration in force.
+const CurrentDeclaration = ^uint64(0)
+
 // ConfigQuery reads the configuration or its history.
 type ConfigQuery struct {
 	// Kinds limits the objects; empty means all.
--- a/structs/program.go
+++ b/structs/program.go
@@ -10,8 +10,11 @@
 // pointers is set.
 type OrgCommand struct {
 	// RequestID makes a resend return the first answer.
-	RequestID   string       `msgpack:"q"`
-	Org         string       `msgpack:"o"`
+	RequestID string `msgpack:"q"`
+	Org       string `msgpack:"o"`
+	// Resend tells that an earlier copy of the command may have been committed, so that
+	// only the state machine may refuse it.
+	Resend      bool         `msgpack:"s,omitempty"`
 	OpenProgram *OpenProgram `msgpack:"a,omitempty"`
 	EndProgram  *EndProgram  `msgpack:"b,omitempty"`
 	BeginTurn   *BeginTurn   `msgpack:"c,omitempty"`
@@ -22,6 +25,13 @@
 	Expire      *Expire      `msgpack:"h,omitempty"`
 	Released    *Released    `msgpack:"i,omitempty"`
 	Debit       *Debit       `msgpack:"j,omitempty"`
+	Restore     *Restore     `msgpack:"k,omitempty"`
+}
+
+// Restore replaces the state of an empty group by a snapshot of the same group of
+// another site.
+type Restore struct {
+	Snapshot []byte `msgpack:"s"`
 }
 
 // Limits are an organisation's limits at a configuration revision. A state machine
@@ -148,7 +158,8 @@
 // BeginTurnReply answers BeginTurn.
 type BeginTurnReply struct {
 	Program Program `msgpack:"p"`
-	// Turn is the begun turn, or the recorded one if Recorded.
+	// Turn is the begun turn without its messages, which the sender has, or the recorded
+	// one if Recorded.
 	Turn Turn `msgpack:"t"`
 	// Recorded tells that the turn was answered before: nothing is run.
 	Recorded bool `msgpack:"r,omitempty"`
@@ -207,6 +218,8 @@
 	Digest  string    `msgpack:"d" json:"digest"`
 	State   CallState `msgpack:"t" json:"state"`
 	Entry   string    `msgpack:"e" json:"-"`
+	// Attempt counts the begins: it is above 1 for a call begun again after CallNotRun.
+	Attempt int `msgpack:"n,omitempty" json:"attempt,omitempty"`
 	// Target is the one the call was meant for, if known.
 	Target  string            `msgpack:"g,omitempty" json:"target,omitempty"`
 	Status  int               `msgpack:"c,omitempty" json:"status,omitempty"`
@@ -235,13 +248,17 @@
 
 // FinishCall records a call's outcome. State is CallFinished, CallUnknown or CallNotRun.
 type FinishCall struct {
-	Key    string            `msgpack:"k"`
-	Entry  string            `msgpack:"e"`
-	State  CallState         `msgpack:"t"`
-	Target string            `msgpack:"g,omitempty"`
-	Status int               `msgpack:"c,omitempty"`
-	Header map[string]string `msgpack:"h,omitempty"`
-	Body   []byte            `msgpack:"b,omitempty"`
+	Key   string    `msgpack:"k"`
+	Entry string    `msgpack:"e"`
+	State CallState `msgpack:"t"`
+	// Attempt is the begun call's. A finish of an older attempt is refused; without it, a
+	// late "not run" of the entry's first attempt would allow a third beside the second.
+	// 0 is taken for the current one.
+	Attempt int               `msgpack:"n,omitempty"`
+	Target  string            `msgpack:"g,omitempty"`
+	Status  int               `msgpack:"c,omitempty"`
+	Header  map[string]string `msgpack:"h,omitempty"`
+	Body    []byte            `msgpack:"b,omitempty"`
 }
 
 // ResolveCall settles an unknown call after a look at the back end.
@@ -269,12 +286,18 @@
 type Expire struct {
 	Idle time.Duration `msgpack:"i"`
 	Keep time.Duration `msgpack:"k"`
+	// LiveEntries lists incarnations that are alive, empty if not known. A call whose
+	// entry is dead becomes unknown; a turn of an ended program is settled.
+	LiveEntries []string `msgpack:"l,omitempty"`
 }
 
 // Release names engine memory to be freed: the KV cache of an ended program.
 type Release struct {
 	Program string `msgpack:"p"`
 	Target  string `msgpack:"t"`
+	// Seq changes when the release is queued again. A confirmation counts only for the
+	// number it was made for: the engine may have stored the cache anew since.
+	Seq uint64 `msgpack:"s,omitempty"`
 }
 
 // Released records releases that the engines have confirmed.
--- a/structs/sched.go
+++ b/structs/sched.go
@@ -30,6 +30,8 @@
 	PrefixTokens []int64 `msgpack:"h,omitempty"`
 	// Exclude lists targets that have failed this request.
 	Exclude []string `msgpack:"x,omitempty"`
+	// Digest identifies the request's content, to find requests that crash targets.
+	Digest string `msgpack:"u,omitempty"`
 }
 
 // Assignment gives a request a slot on a target.
@@ -56,6 +58,8 @@
 
 // ReleaseSlot gives a slot back.
 type ReleaseSlot struct {
+	// Digest is the request's, set with OutcomeCrash.
+	Digest  string  `msgpack:"g,omitempty"`
 	Pool    string  `msgpack:"l"`
 	Entry   string  `msgpack:"e"`
 	Slot    string  `msgpack:"s"`
@@ -83,3 +87,19 @@
 	Entry string     `msgpack:"e"`
 	Slots []SlotInfo `msgpack:"s,omitempty"`
 }
+
+// ReportReply answers ReportSlots.
+type ReportReply struct {
+	// Term is the scheduler's; assignments of a lower term are void.
+	Term uint64 `msgpack:"r"`
+}
+
+// PoolQuery asks a scheduler about one pool.
+type PoolQuery struct {
+	Pool string `msgpack:"l"`
+}
+
+// RetryReply tells whether the pool's retry budget allows a retry now.
+type RetryReply struct {
+	Allowed bool `msgpack:"a"`
+}
