Add an optional hand-over of leadership to the assigned member

With Config.SpreadAfter set, a member that has led a group for that long hands it over to member (group mod members), while no command or read is in flight. It is off by default, because a new leader's scheduler waits up to a second for the entries' reports.

--- a/replica/basic_test.go
+++ b/replica/basic_test.go
@@ -21,4 +21,13 @@
 			Eventually(nd.sm.all, 3*time.Second).Should(Equal(want))
 		}
 	})
+
+	It("hands leadership to the assigned member without losing commands (guards against one member that leads all groups)", func() {
+		c := startCluster(3, func(cfg *Config) { cfg.SpreadAfter = 500 * time.Millisecond })
+		want := c.proposeMany("a", 5)
+		Eventually(func() *node { return c.leader() }, 5*time.Second).Should(BeIdenticalTo(c.nodes[testGroup]))
+		want = append(want, c.proposeMany("b", 5)...)
+		Consistently(func() *node { return c.leader() }, time.Second).Should(BeIdenticalTo(c.nodes[testGroup]))
+		c.expectAll(want, c.nodes...)
+	})
 })
--- a/replica/config.go
+++ b/replica/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/tls"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -35,6 +36,9 @@
 	ElectionMax time.Duration
 	// VoterTimeout is the time after which an unreachable voter is removed.
 	VoterTimeout time.Duration
+	// SpreadAfter is the time for which a member leads a group before it hands over to the
+	// member that the group's number assigns; 0: it keeps what it leads.
+	SpreadAfter time.Duration
 	// HelloInterval is the time between two probes of another member.
 	HelloInterval time.Duration
 	// SnapshotEntries and SnapshotBytes bound what is appended to a group's log between
@@ -104,6 +108,16 @@
 	return errors.Errorf("member %q is not in the list of members; add it", c.ID)
 }
 
+// assigned returns the member that leads a group where leaders are spread.
+func (c *Config) assigned(group uint32) string {
+	ids := make([]string, len(c.Members))
+	for i, m := range c.Members {
+		ids[i] = m.ID
+	}
+	slices.Sort(ids)
+	return ids[group%uint32(len(ids))]
+}
+
 func (c *Config) address(id string) string {
 	for _, m := range c.Members {
 		if m.ID == id {
--- a/replica/group.go
+++ b/replica/group.go
@@ -31,6 +31,7 @@
 	// Owned by the loop.
 	heldHard *raft.HardState // a commit index that waits for the next record
 	leading  uint64          // the term led at the end of the last round; 0: none
+	ledSince raft.Time       // when that began
 	nextRead uint64
 	reads    map[uint64]*waiter
 }
@@ -257,6 +258,9 @@
 		g.applier.abandon()
 		g.dropReads()
 	}
+	if g.leading != led {
+		g.ledSince = g.inc.r.now()
+	}
 	g.leading = led
 }
 
--- a/replica/members.go
+++ b/replica/members.go
@@ -52,6 +52,7 @@
 	mm := membership{g: g, now: now, st: &st}
 	cfg, what, ok := mm.next()
 	if !ok {
+		mm.handOver(core)
 		return
 	}
 	err := core.ProposeConfig(now, cfg)
@@ -182,6 +183,20 @@
 	return raft.Config{}, "", false
 }
 
+// handOver gives leadership to the member that the group's number assigns, so that the
+// leaders of many groups are spread over the members. It happens only while no command or
+// read is in flight.
+func (mm *membership) handOver(core *raft.Core) {
+	cfg := &mm.g.inc.r.cfg
+	if cfg.SpreadAfter == 0 || mm.now-mm.g.ledSince < cfg.SpreadAfter {
+		return
+	}
+	to, ok := mm.current(cfg.assigned(mm.g.id))
+	if ok && mm.st.Config.IsVoter(to) && mm.reachable(to) {
+		core.Transfer(mm.now, to)
+	}
+}
+
 func (mm *membership) reachableVoters(cfg raft.Config) int {
 	n := 0
 	for _, p := range cfg.Voters() {
