--- a/stateserver/internal_test.go
+++ b/stateserver/internal_test.go
@@ -12,12 +12,15 @@
 	"github.com/figlb/figlb/structs"
 )
 
-// termNode is a leader whose term the test sets.
+// termNode is a leader whose term and lease the test sets.
 type termNode struct {
 	replica.Node
-	term uint64
+	term    uint64
+	noLease bool
 }
 
+func (n *termNode) IsLeader(uint32) bool { return !n.noLease }
+
 func (n *termNode) Leader(uint32) (string, uint64) { return "s1", n.term }
 
 var _ = Describe("live entries", func() {
@@ -76,6 +79,17 @@
 		Expect(m.list()).To(HaveLen(1))
 	})
 
+	It("are not told until 4 s after the leader's lease had lapsed", func() {
+		pass(5*time.Second, "e1", "e2")
+		node.noLease = true
+		pass(time.Second, "e1")
+		node.noLease = false
+		pass(3600*time.Millisecond, "e1")
+		Expect(live()).To(BeEmpty())
+		pass(time.Second, "e1")
+		Expect(live()).To(Equal([]string{"e1"}))
+	})
+
 	It("are not told after the process was frozen", func() {
 		pass(5*time.Second, "e1", "e2")
 		now = now.Add(10 * time.Second)
--- a/stateserver/membership.go
+++ b/stateserver/membership.go
@@ -76,13 +76,19 @@
 	}
 }
 
-// tick tells that the process runs. After a gap the list starts anew.
+// tick tells that the process runs. After a gap, and while this member does not lead,
+// all entries get the benefit of the doubt.
 func (m *membership) tick() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.startTerm()
 	m.checkGap()
 	m.ticked = m.now()
+	m.dropDead()
+	if !m.node.IsLeader(stateclient.ConfigGroup) {
+		// Entries may poll another leader, or fail to poll at all.
+		m.since = m.ticked
+	}
 }
 
 // checkGap gives all entries the benefit of the doubt after the process was frozen.
