sched/compare: state loads as shares of the engines' capacity

A share of the rate that saturates a baseline depends on that baseline; the capacity of the engines without recomputation depends on no policy. Both references can be chosen.

--- a/cmd/figlb-compare/main.go
+++ b/cmd/figlb-compare/main.go
@@ -14,19 +14,20 @@
 
 func main() {
 	seeds := flag.Int("seeds", 3, "number of seeds")
-	loads := flag.String("loads", "50,80,100", "loads in percent of the rate that saturates the best baseline")
+	loads := flag.String("loads", "50,80,100", "loads in percent of the reference rate")
+	reference := flag.String("reference", "capacity", "100% load: \"capacity\" of the engines without recomputation, or \"baseline\" for the rate that saturates the best baseline")
 	floodLoad := flag.Float64("flood-load", 80, "load in percent before one organisation sends eight times its rate; 0: no such run")
 	site := flag.String("site", "", "only this site")
 	jsonPath := flag.String("json", "", "file for the JSON report")
 	flag.Parse()
-	if err := run(*seeds, *loads, *floodLoad, *site, *jsonPath); err != nil {
+	if err := run(*seeds, *loads, *reference, *floodLoad, *site, *jsonPath); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(seeds int, loads string, floodLoad float64, site, jsonPath string) error {
-	report := &compare.Report{Saturation: map[string]float64{}}
+func run(seeds int, loads, reference string, floodLoad float64, site, jsonPath string) error {
+	report := &compare.Report{Reference: map[string]float64{}}
 	for i := range seeds {
 		report.Seeds = append(report.Seeds, uint64(i+1))
 	}
@@ -34,7 +35,7 @@
 		if site != "" && site != s.Name {
 			continue
 		}
-		if err := compareSite(report, s, loads, floodLoad); err != nil {
+		if err := compareSite(report, s, loads, reference, floodLoad); err != nil {
 			return err
 		}
 	}
@@ -54,18 +55,21 @@
 	return f.Close()
 }
 
-func compareSite(report *compare.Report, s compare.Site, loads string, floodLoad float64) error {
-	saturation := compare.Saturation(s)
-	report.Saturation[s.Name] = saturation
+func compareSite(report *compare.Report, s compare.Site, loads, reference string, floodLoad float64) error {
+	rate := compare.Capacity(s)
+	if reference == "baseline" {
+		rate = compare.Saturation(s)
+	}
+	report.Reference[s.Name] = rate
 	for _, item := range strings.Split(loads, ",") {
 		load, err := strconv.ParseFloat(item, 64)
 		if err != nil {
 			return err
 		}
-		report.Figures = append(report.Figures, compare.Compare(s, saturation, load/100, report.Seeds)...)
+		report.Figures = append(report.Figures, compare.Compare(s, rate, load/100, report.Seeds)...)
 	}
 	if floodLoad > 0 {
-		report.Floods = append(report.Floods, compare.Floods(s, saturation, floodLoad/100, report.Seeds[0])...)
+		report.Floods = append(report.Floods, compare.Floods(s, rate, floodLoad/100, report.Seeds[0])...)
 	}
 	return nil
 }
--- a/sched/compare/compare.go
+++ b/sched/compare/compare.go
@@ -54,7 +54,7 @@
 // Figures are the measurements of one policy at one load, over all seeds.
 type Figures struct {
 	Site   string
-	Load   float64 // share of the rate that saturates the best baseline
+	Load   float64 // share of the reference rate
 	Policy string
 	// Seconds of program latency.
 	P50, P95, P99 float64
@@ -106,13 +106,16 @@
 	return newSimulation(site, c.New(), seed, warmUp, arrivals).run(programs, hardStop)
 }
 
+// Capacity returns the rate, in programs a second, at which the engines are fully used
+// if nothing is computed twice. It depends on no policy.
+func Capacity(site Site) float64 { return float64(site.Replicas) / meanDemand().Seconds() }
+
 // Saturation returns the rate, in programs a second, up to which the best baseline keeps
 // up.
 func Saturation(site Site) float64 {
-	ideal := float64(site.Replicas) / meanDemand().Seconds()
 	best := 0.0
 	for _, c := range Contenders[1:] {
-		low, high := 0.0, 1.5*ideal
+		low, high := 0.0, Capacity(site)
 		for range 7 {
 			mid := (low + high) / 2
 			if keepsUp(simulate(site, c, rates(mid), calibrationSeed)) {
@@ -134,8 +137,8 @@
 	return quantile(r.Latency[structs.ClassInteractive], 0.95) < maxInteractiveP95
 }
 
-// Compare runs all contenders at the given share of the saturating rate.
-func Compare(site Site, saturation, load float64, seeds []uint64) []Figures {
+// Compare runs all contenders at a share of a reference rate in programs a second.
+func Compare(site Site, reference, load float64, seeds []uint64) []Figures {
 	out := make([]Figures, len(Contenders))
 	var group errgroup.Group
 	group.SetLimit(parallelRuns)
@@ -143,7 +146,7 @@
 		group.Go(func() error {
 			merged := newResult()
 			for _, seed := range seeds {
-				merged.merge(simulate(site, c, rates(load*saturation), seed))
+				merged.merge(simulate(site, c, rates(load*reference), seed))
 			}
 			out[i] = merged.figures(site, c, load)
 			return nil
@@ -183,15 +186,15 @@
 	return [3]float64{quantile(l, 0.5).Seconds(), quantile(l, 0.95).Seconds(), quantile(l, 0.99).Seconds()}
 }
 
-// Floods runs all contenders at the given load while the largest organisation sends
+// Floods runs all contenders at a share of a reference rate while the largest organisation sends
 // eight times its rate.
-func Floods(site Site, saturation, load float64, seed uint64) []Flood {
+func Floods(site Site, reference, load float64, seed uint64) []Flood {
 	out := make([]Flood, len(Contenders))
 	var group errgroup.Group
 	group.SetLimit(parallelRuns)
 	for i, c := range Contenders {
 		group.Go(func() error {
-			out[i] = flood(site, c, rates(load*saturation), seed)
+			out[i] = flood(site, c, rates(load*reference), seed)
 			return nil
 		})
 	}
--- a/sched/compare/table.go
+++ b/sched/compare/table.go
@@ -11,10 +11,11 @@
 
 // Report is a whole comparison.
 type Report struct {
-	Seeds      []uint64
-	Saturation map[string]float64 // programs a second by site
-	Figures    []Figures
-	Floods     []Flood
+	Seeds []uint64
+	// Reference is the rate of 100% load, in programs a second, by site.
+	Reference map[string]float64
+	Figures   []Figures
+	Floods    []Flood
 }
 
 // WriteJSON prints the report as JSON.
@@ -27,7 +28,7 @@
 // WriteTable prints the report as plain tables. Times are in seconds.
 func (r *Report) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	for site, rate := range r.Saturation {
+	for site, rate := range r.Reference {
 		_, _ = fmt.Fprintf(t, "%s: 100%% is %.2f programs a second\n", site, rate)
 	}
 	_, _ = fmt.Fprintln(t, "site\tload\tpolicy\tp50\tp95\tp99\tinteractive p50/p95/p99\tlookup p50/p95/p99\tbatch p50/p95/p99\tTTFT p95\trecomputed\tshare\trefused\tunfinished")
