--- a/sched/baseline.go
+++ b/sched/baseline.go
@@ -45,13 +45,16 @@
 }
 
 // SessionHash sends all requests of a program to one target, chosen by hash among those
-// in service, and lets them wait while it is full.
-type SessionHash struct{}
+// in service, and lets them wait while it is full. A program stays on its target until
+// that goes out of service.
+type SessionHash struct {
+	chosen map[string]*Target // by program
+}
 
 // Next implements Policy.
-func (SessionHash) Next(v *View) (Decision, bool) {
+func (p *SessionHash) Next(v *View) (Decision, bool) {
 	return firstFitting(v, func(r *Request) *Target {
-		t := rendezvous(v, r)
+		t := p.target(v, r)
 		if t == nil || t.Free(v.Now) <= 0 {
 			return nil
 		}
@@ -59,6 +62,19 @@
 	})
 }
 
+func (p *SessionHash) target(v *View, r *Request) *Target {
+	t := p.chosen[r.Program]
+	if t != nil && t.Limit(v.Now) > 0 && !r.excludes(t.Name) {
+		return t
+	}
+	if p.chosen == nil {
+		p.chosen = map[string]*Target{}
+	}
+	t = rendezvous(v, r)
+	p.chosen[r.Program] = t
+	return t
+}
+
 // rendezvous returns the target with the highest hash of program and name.
 func rendezvous(v *View, r *Request) *Target {
 	var best *Target
--- a/sched/compare/compare.go
+++ b/sched/compare/compare.go
@@ -15,7 +15,7 @@
 	warmUp   = 900 * time.Second
 	arrivals = 2700 * time.Second
 	// hardStop ends runs whose queue only grows.
-	hardStop = 5400 * time.Second
+	hardStop = 4500 * time.Second
 	// parallelRuns bounds the processors used.
 	parallelRuns = 2
 	// floodFactor is the factor by which an organisation exceeds its rate.
@@ -48,7 +48,7 @@
 	{"fair", func() sched.Policy { return sched.NewFair() }},
 	{"least-outstanding", func() sched.Policy { return sched.LeastOutstanding{} }},
 	{"round-robin", func() sched.Policy { return &sched.RoundRobin{} }},
-	{"session-hash", func() sched.Policy { return sched.SessionHash{} }},
+	{"session-hash", func() sched.Policy { return &sched.SessionHash{} }},
 }
 
 // Figures are the measurements of one policy at one load, over all seeds.
--- a/sched/fair_test.go
+++ b/sched/fair_test.go
@@ -151,7 +151,7 @@
 	},
 	Entry("desc: round robin", &RoundRobin{}, []string{"a", "a", "a", "a"}, []string{"t0", "t1", "t2", "t0"}),
 	Entry("desc: least outstanding", LeastOutstanding{}, []string{"a", "a", "a", "a"}, []string{"t0", "t1", "t2", "t0"}),
-	Entry("desc: session hash waits for its target", SessionHash{}, []string{"a", "a", "a"}, []string{"t0", "t0", ""}),
+	Entry("desc: session hash waits for its target", &SessionHash{}, []string{"a", "a", "a"}, []string{"t0", "t0", ""}),
 )
 
 var _ = It("keeps waiting requests in order of arrival for the baselines", func() {
--- a/sched/target.go
+++ b/sched/target.go
@@ -81,8 +81,8 @@
 	reported bool
 	// lastReport is when the newest report came, 0 if there was none.
 	lastReport time.Duration
-	external int  // requests on the target that are not in this account
-	speed    ewma // time per token relative to the pool's
+	external   int  // requests on the target that are not in this account
+	speed      ewma // time per token relative to the pool's
 	// prefillDone is the estimated time at which the prompts of all slots are computed.
 	prefillDone time.Duration
 }
