dispatch: count one crash for all copies of a request on one target

Cause: two requests with one digest on a target that dies counted as two crashes, so a popular read could be refused for an hour. Found by review. Ruled out: counting distinct targets only; a target that restarts and is crashed again by the same request would not count. Change: a crash counts unless the request was assigned to the same target before the last crash that was counted. Figures: the new spec passes; it fails without the change. Conclusion: copies that ran together are one crash.

--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -30,19 +30,18 @@
 }
 
 type crashRecord struct {
-	count int
-	at    time.Duration // last crash
+	count  int
+	at     time.Duration // last crash
+	target string        // of the last crash
 }
 
 func newSuspects() suspects {
 	return suspects{crashes: map[string]*crashRecord{}, running: map[string]int{}}
 }
 
-// crashed counts a crash.
-func (x *suspects) crashed(now time.Duration, digest string) {
-	if digest == "" {
-		return
-	}
+// crashed counts the crash of a target under a request that was assigned to it at a time.
+// Several requests with one digest that were on the target together are one crash.
+func (x *suspects) crashed(now time.Duration, digest, target string, assignedAt time.Duration) {
 	c := x.crashes[digest]
 	if c == nil {
 		if len(x.crashes) >= maxSuspects {
@@ -54,8 +53,11 @@
 		c = &crashRecord{}
 		x.crashes[digest] = c
 	}
+	if c.target == target && assignedAt <= c.at {
+		return
+	}
 	c.count++
-	c.at = now
+	c.at, c.target = now, target
 }
 
 // quarantined reports whether requests with the digest have crashed too many targets.
@@ -100,7 +102,11 @@
 	if rel.Outcome != structs.OutcomeCrash || rel.Digest == "" {
 		return
 	}
-	s.suspects.crashed(now, rel.Digest)
+	assignedAt := now
+	if slot := s.pool.Slot(rel.Slot); slot != nil {
+		assignedAt = slot.AssignedAt
+	}
+	s.suspects.crashed(now, rel.Digest, rel.Target, assignedAt)
 	for id, w := range s.requests {
 		if w.assignment != nil || w.req.Digest != rel.Digest {
 			continue
--- a/dispatch/suspects_test.go
+++ b/dispatch/suspects_test.go
@@ -44,6 +44,21 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against a popular request that is refused because several copies of it were on
+	// a target that died.
+	It("count once for all copies of a request that were on one target", func() {
+		f := newFleet(1, targets(1, 4, 4), dispatch.Options{})
+		e, _ := newEntry(f, "e1")
+		x, err := assign(e, "copy-1", digest)
+		Expect(err).NotTo(HaveOccurred())
+		y, err := assign(e, "copy-2", digest)
+		Expect(err).NotTo(HaveOccurred())
+		crash(e, x, digest)
+		crash(e, y, digest)
+		_, err = assign(e, "copy-3", digest)
+		Expect(errs.Is(err, errs.RequestQuarantined)).To(BeFalse())
+	})
+
 	// Guards against innocent requests that are refused because they ran beside the culprit
 	// twice.
 	It("run on different targets after their first crash", func() {
