wire: check the role in a peer's certificate for each method

Cause: certificates carried a role that nothing checked: an entry host could have granted keys or sent messages of the log. Ruled out: separate ports for each role; one port keeps the settings small. Change: the server handshakes before the first frame and asks an authorizer; stateserver.Authorize lets entries use programs, turns, calls, rates, the scheduler and the confirmation of the configuration only. Conclusion: a taken entry host cannot change keys, configuration or the log.

--- a/cmd/figlb-state/run.go
+++ b/cmd/figlb-state/run.go
@@ -50,6 +50,7 @@
 		return err
 	}
 	defer w.Close()
+	w.Authorize(stateserver.Authorize)
 	machines := stateserver.NewMachines(st.Groups)
 	n, err := startNode(file, members, machines, w, tlsConf, bootstrap, log)
 	if err != nil {
--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -1,5 +1,9 @@
 #!/usr/bin/env bash
-# Builds the binaries and runs a short end-to-end check of them.
+# Builds the binaries, checks the example declarations and runs the demonstration shortly.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o bin/ ./cmd/...
+for site in ng-south neng; do
+	bin/figlbctl validate -base examples/base.ini -overlay "examples/$site.ini"
+done
+scripts/demo.sh neng 6
--- a/wire/server.go
+++ b/wire/server.go
@@ -22,16 +22,22 @@
 // or silently cut-off peer cannot hold the server's goroutines.
 const writeTimeout = 5 * time.Second
 
+const handshakeTimeout = 5 * time.Second
+
 // Handler answers one call. The body is the msgpack request; the reply is encoded
 // with msgpack. An *errs.Error reaches the caller unchanged.
 type Handler func(ctx context.Context, body []byte) (any, error)
 
+// Authorizer decides whether a peer with a verified certificate may call a method.
+type Authorizer func(peer tls.ConnectionState, method string) error
+
 // Server accepts connections and runs each call on its own goroutine.
 type Server struct {
 	log      logr.Logger
 	ln       net.Listener
 	handlers map[string]Handler
 	oneWay   map[string]func(body []byte)
+	allow    Authorizer
 	mu       sync.Mutex
 	conns    map[net.Conn]struct{}
 	closed   bool
@@ -67,6 +73,10 @@
 // not block.
 func (s *Server) HandleOneWay(method string, h func(body []byte)) { s.oneWay[method] = h }
 
+// Authorize sets who may call which method on TLS connections; without it each peer of the
+// site may call each method. It must be called before Serve.
+func (s *Server) Authorize(a Authorizer) { s.allow = a }
+
 // Serve accepts connections until Close.
 func (s *Server) Serve() {
 	for {
@@ -117,6 +127,7 @@
 type serverConn struct {
 	srv     *Server
 	conn    net.Conn
+	peer    *tls.ConnectionState // nil without TLS
 	writeMu sync.Mutex
 	mu      sync.Mutex
 	cancels map[uint64]context.CancelFunc
@@ -127,6 +138,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	sc := &serverConn{srv: s, conn: conn, cancels: map[uint64]context.CancelFunc{}}
+	if err := sc.handshake(ctx); err != nil {
+		s.log.V(1).Info("TLS handshake failed", "peer", conn.RemoteAddr().String(), "error", err.Error())
+		return
+	}
 	r := bufio.NewReaderSize(conn, 64<<10)
 	for {
 		f, err := readFrame(r)
@@ -137,13 +152,39 @@
 	}
 }
 
+// handshake verifies the peer's certificate.
+func (sc *serverConn) handshake(ctx context.Context) error {
+	conn, ok := sc.conn.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	if err := conn.HandshakeContext(ctx); err != nil {
+		return err
+	}
+	state := conn.ConnectionState()
+	sc.peer = &state
+	return nil
+}
+
+// authorize returns the error for a method that the peer may not call.
+func (sc *serverConn) authorize(method string) error {
+	if sc.peer == nil || sc.srv.allow == nil {
+		return nil
+	}
+	return sc.srv.allow(*sc.peer, method)
+}
+
 func (sc *serverConn) accept(ctx context.Context, f *frame) {
 	if f.Cancel {
 		sc.cancel(f.ID)
 		return
 	}
 	if h, ok := sc.srv.oneWay[f.Method]; ok {
-		h(f.Body)
+		if sc.authorize(f.Method) == nil {
+			h(f.Body)
+		}
 		return
 	}
 	callCtx, cancel := callContext(ctx, f)
@@ -175,7 +216,9 @@
 	defer sc.cancel(f.ID)
 	reply := &frame{ID: f.ID}
 	h, ok := sc.srv.handlers[f.Method]
-	if !ok {
+	if err := sc.authorize(f.Method); err != nil {
+		reply.Err = errs.From(err)
+	} else if !ok {
 		reply.Err = errs.New(errs.NotFound, "upgrade the peer", "unknown method %q", f.Method)
 	} else {
 		ctx, span := otel.Tracer("figlb/wire").Start(ctx, f.Method, trace.WithSpanKind(trace.SpanKindServer))
