--- a/test/bench/config.go
+++ b/test/bench/config.go
@@ -50,6 +50,11 @@
 	if err := s.addTargets(b.extra); err != nil {
 		return err
 	}
+	p, err := startPollers(s, b.polling)
+	if err != nil {
+		return err
+	}
+	defer p.stop()
 	time.Sleep(settleTime)
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
@@ -67,8 +72,8 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("config organisations=%d targets=%d load=%s full %d objects, %d bytes, read in %.1f ms; delta of one key %d bytes; in force at both entries after p50 %.0f max %.0f ms (n=%d)\n",
-		n, b.extra, machineLoad(), len(full.Objects), encodedSize(full), took.Seconds()*1e3, encodedSize(delta), inForce.at(.5), inForce.at(1), inForce.count())
+	fmt.Printf("config organisations=%d targets=%d pollers=%d load=%s full %d objects, %d bytes, read in %.1f ms; delta of one key %d bytes; in force at both entries after p50 %.0f max %.0f ms (n=%d)\n",
+		n, b.extra, b.polling, machineLoad(), len(full.Objects), encodedSize(full), took.Seconds()*1e3, encodedSize(delta), inForce.at(.5), inForce.at(1), inForce.count())
 	return b.changeRates(s, n)
 }
 
--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -22,6 +22,7 @@
 	rounds   int
 	turns    int
 	extra    int // targets
+	polling  int // entries
 	groups   int
 	bytes    int
 	traced   bool
@@ -58,6 +59,7 @@
 	f.IntVar(&b.turns, "turns", 4, "turns of a program")
 	f.IntVar(&b.groups, "groups", 4, "organisation groups")
 	f.IntVar(&b.extra, "targets", 0, "config: declare this many more targets")
+	f.IntVar(&b.polling, "pollers", 0, "config: follow the configuration with this many more entries")
 	f.IntVar(&b.bytes, "bytes", 1400, "bytes of a message and of an answer")
 	f.BoolVar(&b.traced, "traced", false, "ttft: record spans and print the time of each hop")
 	f.Uint64Var(&b.seed, "seed", 1, "seed of random choices")
