entry: send a call's attempt with its outcome

Cause: an entry that records 'not run' again after a lost reply could reset its own second attempt, and a third would run beside it. Ruled out: refusing a repeated 'not run' by its request id; the id of a retry by the entry differs. Change: the entry keeps the attempt of its begin command and sends it with each outcome; an orphaned call is ended under its own attempt. The entry's fake of the state refuses other attempts, so that all tests of calls check it. Conclusion: a late outcome settles its own attempt only.

--- a/entry/call.go
+++ b/entry/call.go
@@ -33,6 +33,8 @@
 	refusedAt time.Time
 	// begunAt is when the last begin command was sent.
 	begunAt time.Time
+	// attempt is the number that the state gave to the begun call.
+	attempt int
 	// settled tells that the state holds an outcome, so that the call cannot be taken
 	// for one that was never dispatched.
 	settled bool
@@ -159,6 +161,7 @@
 		c.q.e.calls.begun(c.tableKey(), nil)
 		return b, err
 	}
+	c.attempt = b.Call.Attempt
 	c.q.e.calls.begun(c.tableKey(), c)
 	return b, nil
 }
@@ -230,7 +233,7 @@
 		return err
 	}
 	if rec.State == structs.CallRunning && rec.Entry == c.q.e.incarn {
-		c.recordFully(ctx, structs.FinishCall{State: structs.CallNotRun})
+		c.recordFully(ctx, structs.FinishCall{State: structs.CallNotRun, Attempt: rec.Attempt})
 	}
 	return nil
 }
@@ -356,6 +359,9 @@
 	cctx, cancel := c.q.e.commitContext(ctx)
 	defer cancel()
 	cmd.Key, cmd.Entry = c.key, c.q.e.incarn
+	if cmd.Attempt == 0 {
+		cmd.Attempt = c.attempt
+	}
 	defer c.q.e.timeSince(metricFinish, time.Now())
 	_, err := c.q.e.state.FinishCall(cctx, c.q.org, cmd)
 	if err == nil || errs.Is(err, errs.Superseded) {
--- a/entry/fakestate_test.go
+++ b/entry/fakestate_test.go
@@ -230,7 +230,11 @@
 	if c != nil && c.State != structs.CallNotRun {
 		return &structs.BeginCallReply{Call: *c}, nil
 	}
-	c = &structs.Call{Key: q.Key, Service: q.Service, Digest: q.Digest, State: structs.CallRunning, Entry: q.Entry}
+	attempt := 1
+	if c != nil {
+		attempt = c.Attempt + 1
+	}
+	c = &structs.Call{Key: q.Key, Service: q.Service, Digest: q.Digest, State: structs.CallRunning, Entry: q.Entry, Attempt: attempt}
 	f.calls[org+q.Key] = c
 	if f.loseBegin {
 		f.loseBegin = false
@@ -246,6 +250,10 @@
 		return nil, lost()
 	}
 	c := f.calls[org+q.Key]
+	// Guards against a late outcome of one attempt that settles the next one.
+	if q.Attempt != c.Attempt {
+		return nil, errs.New(errs.Superseded, "read the outcome", "attempt %d is over", q.Attempt)
+	}
 	c.State, c.Target, c.Status, c.Header, c.Body = q.State, q.Target, q.Status, q.Header, q.Body
 	return c, nil
 }
