Let elections end on disks with slow syncs and shorten the forming of a cluster

An end-to-end test failed once because three members had not formed a cluster within 20 s. The disk took 270 ms per sync at that time (50 synchronous 4 KiB writes: 13.7 s; 0.3 ms each a second later). A candidate restarted its election after 300 to 600 ms, although its own vote and the votes of the others need two such syncs in turn, so elections could go on without end.

The election timer of a member now starts once its vote is durable and allows for twice the time that took.

--- a/raft/core.go
+++ b/raft/core.go
@@ -65,7 +65,8 @@
 	electionDue time.Duration
 	lastContact Time // last message from a leader, or the start
 	votes       map[Peer]bool
-	transferred bool // the running election was started by MsgTimeoutNow
+	votePending bool // a vote is not durable yet
+	votedAt     Time
 
 	// Leader state.
 	progress     map[Peer]*progress
@@ -131,7 +132,7 @@
 		c.tickLeader()
 		return
 	}
-	if c.now < c.electionDue {
+	if c.now < c.electionDue || c.votePending {
 		return
 	}
 	c.leader = Peer{}
@@ -207,6 +208,8 @@
 		c.handleSnapshotReply(m)
 	case MsgTimeoutNow:
 		c.handleTimeoutNow(m)
+	case MsgVoteSynced:
+		c.voteSynced()
 	}
 }
 
@@ -247,6 +250,7 @@
 	if term > c.term {
 		c.term = term
 		c.vote = Peer{}
+		c.votePending = false
 	}
 	if c.role == Leader {
 		c.resetElectionTimer()
--- a/raft/election.go
+++ b/raft/election.go
@@ -49,8 +49,7 @@
 	c.term++
 	c.vote = c.opt.Self
 	c.votes = map[Peer]bool{}
-	c.transferred = transfer
-	c.resetElectionTimer()
+	c.awaitVoteSync()
 	c.sendAfterSync(Message{Type: MsgVoteReply, To: c.opt.Self})
 	c.askVotes(Message{Type: MsgVote, Term: c.term, Transfer: transfer}, c.sendAfterSync)
 }
@@ -110,12 +109,30 @@
 	grant := free && c.role == Follower && c.leader == Peer{} && c.mayElect(m)
 	if grant {
 		c.vote = m.From
-		c.resetElectionTimer()
+		c.awaitVoteSync()
+		c.sendAfterSync(Message{Type: MsgVoteSynced, To: c.opt.Self})
 	}
 	c.sendAfterSync(Message{Type: MsgVoteReply, To: m.From, Reject: !grant})
 }
 
+// awaitVoteSync holds the election timer until the own vote is durable. On a disk whose
+// sync takes about as long as the election timeout, no election would ever end otherwise.
+func (c *Core) awaitVoteSync() {
+	c.votePending = true
+	c.votedAt = c.now
+}
+
+// voteSynced starts the election timer. The other voters' disks may be as slow as this one.
+func (c *Core) voteSynced() {
+	c.votePending = false
+	c.resetElectionTimer()
+	c.electionDue = max(c.electionDue, c.now+2*(c.now-c.votedAt))
+}
+
 func (c *Core) handleVoteReply(m Message) {
+	if m.From == c.opt.Self {
+		c.voteSynced()
+	}
 	if c.role != Candidate || m.Reject {
 		return
 	}
--- a/raft/types.go
+++ b/raft/types.go
@@ -76,6 +76,7 @@
 	MsgSnapshot
 	MsgSnapshotReply
 	MsgTimeoutNow
+	MsgVoteSynced // from a core to itself: the vote that it granted is durable
 )
 
 // Message is exchanged between the cores of a group.
--- a/replica/bootstrap.go
+++ b/replica/bootstrap.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/figlb/figlb/raft"
 	"github.com/figlb/figlb/wal"
@@ -79,11 +80,11 @@
 
 func (inc *incarnation) writeInitialState() error {
 	meta := raft.Bootstrap(inc.self)
+	if err := inc.saveEmptySnapshots(meta); err != nil {
+		return err
+	}
 	stored := make(chan error, len(inc.groups))
 	for id := range inc.groups {
-		if err := inc.wal.SaveSnapshot(id, meta, inc.r.empty[id]); err != nil {
-			return err
-		}
 		rec := &wal.Record{
 			Group:    id,
 			Hard:     &raft.HardState{Term: meta.Term, Commit: meta.Index},
@@ -99,3 +100,13 @@
 	id := wal.Identity{Member: inc.self.ID, Incarnation: inc.self.Incarnation, Cluster: randomID()}
 	return inc.wal.SetIdentity(id)
 }
+
+// saveEmptySnapshots stores the initial snapshots of all groups at once, so that their syncs
+// overlap.
+func (inc *incarnation) saveEmptySnapshots(meta raft.SnapshotMeta) error {
+	var all errgroup.Group
+	for id := range inc.groups {
+		all.Go(func() error { return inc.wal.SaveSnapshot(id, meta, inc.r.empty[id]) })
+	}
+	return all.Wait()
+}
--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -151,6 +151,17 @@
 		Eventually(func() bool { return slices.Equal(nd.sm.all(), want) }, repairBound).Should(BeTrue())
 	})
 
+	It("elects a leader on disks whose sync takes as long as the election timeout (guards against elections without end)", func() {
+		fs := &failingFS{}
+		c := startCluster(3, func(cfg *Config) { cfg.FS = fs })
+		fs.delay.Store(int64(400 * time.Millisecond))
+		old := c.waitLeader(leaderBound)
+		old.kill()
+		c.waitLeader(10 * time.Second)
+		fs.delay.Store(0)
+		c.propose("a")
+	})
+
 	It("stops a member whose sync fails (guards against acknowledgements of what is not on disk)", func() {
 		fs := &failingFS{}
 		c := startCluster(3, func(cfg *Config) {
@@ -196,10 +207,11 @@
 	return raft.Peer{}
 }
 
-// failingFS fails all syncs while fail is set.
+// failingFS fails all syncs while fail is set, and delays them.
 type failingFS struct {
 	memoryFS
-	fail atomic.Bool
+	fail  atomic.Bool
+	delay atomic.Int64 // nanoseconds
 }
 
 func (f *failingFS) Create(path string) (wal.File, error) {
@@ -218,6 +230,7 @@
 }
 
 func (f failingFile) Sync() error {
+	time.Sleep(time.Duration(f.fs.delay.Load()))
 	if f.fs.fail.Load() {
 		return errors.New("sync failed")
 	}
--- a/replica/members.go
+++ b/replica/members.go
@@ -142,26 +142,33 @@
 	return mm.reachable(p) && mm.st.Progress[p].Match+promoteLag >= mm.st.Last && mm.st.Progress[p].Match > 0
 }
 
-// add makes a configured member that is not in the group a learner.
+// add makes configured members that are not in the group learners.
 func (mm *membership) add() (raft.Config, string, bool) {
+	cfg := mm.st.Config
+	what := "add"
 	for _, m := range mm.g.inc.r.cfg.Members {
 		cur, ok := mm.current(m.ID)
 		if !ok {
 			continue
 		}
-		_, in := mm.st.Config.Find(cur)
-		if in || slices.Contains(mm.st.Config.Removed, cur) {
+		_, in := cfg.Find(cur)
+		if in || slices.Contains(cfg.Removed, cur) {
 			continue
 		}
-		cfg := mm.st.Config
-		for _, old := range mm.st.Config.Members {
-			if old.Peer.ID == m.ID && !old.Voter {
-				cfg = cfg.Without(old.Peer)
-			}
+		cfg = withoutLearners(cfg, m.ID).With(cur, false)
+		what += " " + m.ID
+	}
+	return cfg, what, what != "add"
+}
+
+// withoutLearners drops older incarnations of a member that were learners.
+func withoutLearners(cfg raft.Config, id string) raft.Config {
+	for _, old := range cfg.Members {
+		if old.Peer.ID == id && !old.Voter {
+			cfg = cfg.Without(old.Peer)
 		}
-		return cfg.With(cur, false), "add " + m.ID, true
 	}
-	return raft.Config{}, "", false
+	return cfg
 }
 
 // removeUnreachable removes one voter that has not answered for the voter timeout, while
