sched: hold back new programs above the share while caches thrash

Cause: when more programs are in progress than the caches hold, each turn computes the program's history again. At 100% load 78% of all history was computed again, and an organisation at eight times its rate left the worst served of the others 0.64 of their service, at both sites. Ruled out: the order of the queue. Programs in progress before new ones by 30 s or 120 s left 75% recomputed, because new programs start whenever those in progress are in tool pauses. Change: while evicted programs were last used less than 25 s ago and half of the slots are in use, new batch programs of an organisation above its share of the slots wait, and new interactive ones of an organisation at more than twice its share.

--- a/cmd/figlb-compare/main.go
+++ b/cmd/figlb-compare/main.go
@@ -18,8 +18,12 @@
 	reference := flag.String("reference", "capacity", "100% load: \"capacity\" of the engines without recomputation, or \"baseline\" for the rate that saturates the best baseline")
 	floodLoad := flag.Float64("flood-load", 80, "load in percent before one organisation sends eight times its rate; 0: no such run")
 	site := flag.String("site", "", "only this site")
+	policies := flag.String("policies", "", "only these policies, separated by commas")
 	jsonPath := flag.String("json", "", "file for the JSON report")
 	flag.Parse()
+	if *policies != "" {
+		compare.Select(strings.Split(*policies, ","))
+	}
 	if err := run(*seeds, *loads, *reference, *floodLoad, *site, *jsonPath); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -69,7 +73,7 @@
 		report.Figures = append(report.Figures, compare.Compare(s, rate, load/100, report.Seeds)...)
 	}
 	if floodLoad > 0 {
-		report.Floods = append(report.Floods, compare.Floods(s, rate, floodLoad/100, report.Seeds[0])...)
+		report.Floods = append(report.Floods, compare.Floods(s, rate, floodLoad/100, report.Seeds)...)
 	}
 	return nil
 }
--- a/sched/cache.go
+++ b/sched/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -24,6 +25,31 @@
 	// prompt that all programs share has as many items as there are programs.
 	prefixes map[uint64]map[*Target]int
 	targets  map[*Target]*memory
+
+	now time.Duration // time of the last call of the pool
+	// evictedAge is the mean time from the last use of a program's cache to its eviction.
+	evictedAge ewma
+	evictedAt  time.Duration
+}
+
+const (
+	// thrashAge is the age of evicted programs below which caches are thrashing: a tool
+	// pause is shorter, so programs in progress lose their cache.
+	thrashAge = 25 * time.Second
+	// thrashMemory is the time after the last eviction that caches count as thrashing.
+	thrashMemory = 5 * time.Second
+)
+
+// thrashing reports whether caches evict programs that are in progress.
+func (c *CacheMap) thrashing(now time.Duration) bool {
+	return c.evictedAge.n >= minSamples && now-c.evictedAt < thrashMemory &&
+		c.evictedAge.value < thrashAge.Seconds()
+}
+
+// noteEviction measures an eviction for lack of memory.
+func (c *CacheMap) noteEviction(it *item) {
+	c.evictedAge.add((c.now - it.lastUsed).Seconds())
+	c.evictedAt = c.now
 }
 
 // memory is a target's cache in order of last use.
@@ -41,6 +67,7 @@
 	tokens   int64
 	prefixes []uint64
 	place    *list.Element
+	lastUsed time.Duration
 }
 
 func newCacheMap() *CacheMap {
@@ -132,6 +159,7 @@
 		return
 	}
 	if tokens <= 0 || tokens >= it.tokens {
+		c.noteEviction(it)
 		c.drop(it)
 		return
 	}
@@ -144,13 +172,14 @@
 	m := c.memory(t)
 	it := m.items[key]
 	if it == nil {
-		it = &item{target: t, key: key}
+		it = &item{target: t, key: key, lastUsed: c.now}
 		it.place = m.lru.PushFront(it)
 		m.items[key] = it
 		c.programs[key] = append(c.programs[key], it)
 		return it
 	}
 	m.lru.MoveToFront(it.place)
+	it.lastUsed = c.now
 	return it
 }
 
@@ -227,7 +256,9 @@
 func (c *CacheMap) evict(t *Target) {
 	m := c.memory(t)
 	for m.lru.Len() > 1 && m.full() {
-		c.drop(m.lru.Back().Value.(*item))
+		it := m.lru.Back().Value.(*item)
+		c.noteEviction(it)
+		c.drop(it)
 	}
 }
 
--- a/sched/compare/compare.go
+++ b/sched/compare/compare.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -51,6 +52,20 @@
 	{"session-hash", func() sched.Policy { return &sched.SessionHash{} }},
 }
 
+// baselines are all contenders but the policy in use; they set the saturating rate.
+var baselines = Contenders[1:]
+
+// Select limits the contenders to the named ones.
+func Select(names []string) {
+	var kept []Contender
+	for _, c := range Contenders {
+		if slices.Contains(names, c.Name) {
+			kept = append(kept, c)
+		}
+	}
+	Contenders = kept
+}
+
 // Figures are the measurements of one policy at one load, over all seeds.
 type Figures struct {
 	Site   string
@@ -77,7 +92,8 @@
 	// generated to those that it gets when alone; WorstP95 the highest ratio of the 95th
 	// percentile of program latency.
 	WorstService, WorstP95 float64
-	Refused                int
+	// Refused counts refusals, RefusedOthers those of organisations within their rate.
+	Refused, RefusedOthers int
 }
 
 // meanDemand returns the mean engine time of a program.
@@ -114,7 +130,7 @@
 // up.
 func Saturation(site Site) float64 {
 	best := 0.0
-	for _, c := range Contenders[1:] {
+	for _, c := range baselines {
 		low, high := 0.0, Capacity(site)
 		for range 7 {
 			mid := (low + high) / 2
@@ -160,6 +176,15 @@
 	for class, l := range o.Latency {
 		r.Latency[class] = append(r.Latency[class], l...)
 	}
+	for org, l := range o.OrgLatency {
+		r.OrgLatency[org] = append(r.OrgLatency[org], l...)
+	}
+	for org, n := range o.Service {
+		r.Service[org] += n
+	}
+	for org, n := range o.OrgRefused {
+		r.OrgRefused[org] += n
+	}
 	r.FirstToken = append(r.FirstToken, o.FirstToken...)
 	r.Recomputed += o.Recomputed
 	r.History += o.History
@@ -188,13 +213,13 @@
 
 // Floods runs all contenders at a share of a reference rate while the largest organisation sends
 // eight times its rate.
-func Floods(site Site, reference, load float64, seed uint64) []Flood {
+func Floods(site Site, reference, load float64, seeds []uint64) []Flood {
 	out := make([]Flood, len(Contenders))
 	var group errgroup.Group
 	group.SetLimit(parallelRuns)
 	for i, c := range Contenders {
 		group.Go(func() error {
-			out[i] = flood(site, c, rates(load*reference), seed)
+			out[i] = flood(site, c, rates(load*reference), seeds)
 			return nil
 		})
 	}
@@ -202,15 +227,16 @@
 	return out
 }
 
-func flood(site Site, c Contender, base []float64, seed uint64) Flood {
+func flood(site Site, c Contender, base []float64, seeds []uint64) Flood {
 	flooded := append([]float64{}, base...)
 	flooded[0] *= floodFactor
-	together := simulateEach(site, c, flooded, seed)
+	together := simulateSeeds(site, c, flooded, seeds)
 	f := Flood{Site: site.Name, Policy: c.Name, WorstService: 1, Refused: together.Refused}
+	f.RefusedOthers = together.Refused - together.OrgRefused[orgName(0)]
 	for i := 1; i < len(base); i++ {
 		alone := make([]float64, len(base))
 		alone[i] = base[i]
-		r := simulateEach(site, c, alone, seed)
+		r := simulateSeeds(site, c, alone, seeds)
 		org := orgName(i)
 		f.WorstService = min(f.WorstService, float64(together.Service[org])/float64(r.Service[org]))
 		p95 := float64(quantile(together.OrgLatency[org], 0.95)) / float64(quantile(r.OrgLatency[org], 0.95))
@@ -219,6 +245,14 @@
 	return f
 }
 
+func simulateSeeds(site Site, c Contender, rates []float64, seeds []uint64) *Result {
+	merged := newResult()
+	for _, seed := range seeds {
+		merged.merge(simulateEach(site, c, rates, seed))
+	}
+	return merged
+}
+
 // simulateEach is simulate with a generator for each organisation, so that an
 // organisation has the same programs whatever the others send.
 func simulateEach(site Site, c Contender, rates []float64, seed uint64) *Result {
--- a/sched/compare/result.go
+++ b/sched/compare/result.go
@@ -20,7 +20,9 @@
 	Service map[string]int64
 	// OrgLatency holds the program latencies of each organisation.
 	OrgLatency map[string][]time.Duration
+	// Refused counts refused calls, OrgRefused by organisation.
 	Refused    int
+	OrgRefused map[string]int
 	Unfinished int
 
 	ended map[string]bool
@@ -31,6 +33,7 @@
 		Latency:    map[structs.Class][]time.Duration{},
 		Service:    map[string]int64{},
 		OrgLatency: map[string][]time.Duration{},
+		OrgRefused: map[string]int{},
 		ended:      map[string]bool{},
 	}
 }
--- a/sched/compare/simulation.go
+++ b/sched/compare/simulation.go
@@ -267,6 +267,7 @@
 	if shed := s.pool.Enqueue(s.now, req); shed != nil {
 		refused := shed.Data.(*call)
 		s.result.Refused++
+		s.result.OrgRefused[refused.run.spec.org]++
 		s.after(s.pool.RetryAfter(s.now), refused.enqueue)
 	}
 	s.pump()
--- a/sched/compare/table.go
+++ b/sched/compare/table.go
@@ -38,9 +38,9 @@
 			f.class(structs.ClassLookup), f.class(structs.ClassBatch), f.FirstTokenP95, f.Recomputed, f.RecomputedShare,
 			f.Refused, f.Unfinished)
 	}
-	_, _ = fmt.Fprintln(t, "\nsite\tpolicy\tworst service under 8x\tworst p95 ratio under 8x\trefused")
+	_, _ = fmt.Fprintln(t, "\nsite\tpolicy\tworst service under 8x\tworst p95 ratio under 8x\trefused\tof others")
 	for _, f := range r.Floods {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%.3f\t%.2f\t%d\n", f.Site, f.Policy, f.WorstService, f.WorstP95, f.Refused)
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%.3f\t%.2f\t%d\t%d\n", f.Site, f.Policy, f.WorstService, f.WorstP95, f.Refused, f.RefusedOthers)
 	}
 	return t.Flush()
 }
--- a/sched/fair.go
+++ b/sched/fair.go
@@ -12,6 +12,10 @@
 	// externality weighs the delay that a request causes to the other requests on its
 	// target against its own.
 	externality = 0.5
+	// holdBatch and holdInteractive are the excesses over the organisation's share of the
+	// slots from which new programs are held back while caches are thrashing.
+	holdBatch       = 1.0
+	holdInteractive = 2.0
 	// tieTolerance is the difference in estimated time below which targets are equal:
 	// estimates are not better than this, and it is more than the latency between zones.
 	tieTolerance = 3 * time.Millisecond
@@ -28,6 +32,7 @@
 	scores  []score
 	skipped []*Request
 	passed  []*Org
+	held    bool // new programs may have to wait
 }
 
 type score struct {
@@ -44,6 +49,7 @@
 		return Decision{}, false
 	}
 	v.unparkReady()
+	p.held = v.Cache.thrashing(v.Now) && v.halfBusy()
 	d, ok := p.search(v)
 	for _, o := range p.passed {
 		heap.Push(&v.Queue.active, o)
@@ -82,8 +88,8 @@
 // target may serve are skipped; those that wait for a caching target are parked.
 func (p *Fair) searchOrg(v *View, o *Org) (Decision, bool) {
 	defer p.restore(o)
-	for len(o.waiting) > 0 {
-		r := o.waiting[0]
+	n := p.openSides(v, o)
+	for r := o.head(n); r != nil; r = o.head(n) {
 		d, wait := p.choose(v, r)
 		if d.Target != nil {
 			return d, true
@@ -92,7 +98,7 @@
 			v.Queue.park(r, wait.target, v.Now+wait.value)
 			continue
 		}
-		heap.Pop(&o.waiting)
+		heap.Pop(&o.waiting[r.side()])
 		p.skipped = append(p.skipped, r)
 	}
 	return Decision{}, false
@@ -100,11 +106,38 @@
 
 func (p *Fair) restore(o *Org) {
 	for _, r := range p.skipped {
-		heap.Push(&o.waiting, r)
+		heap.Push(&o.waiting[r.side()], r)
 	}
 	p.skipped = p.skipped[:0]
 }
 
+// openSides returns the number of sides of an organisation's queue that may be served.
+// New programs wait, although slots are free, while the caches evict programs that are
+// still in progress, at least half of the slots are in use and the organisation has more
+// than its share of them: more programs would make every program compute its history
+// again and again, also those of the other organisations.
+func (p *Fair) openSides(v *View, o *Org) int {
+	if !p.held {
+		return sides
+	}
+	switch excess := v.Shares.excess(o.Name); {
+	case excess > holdInteractive:
+		return newInteractive
+	case excess > holdBatch:
+		return newBatch
+	}
+	return sides
+}
+
+// halfBusy reports whether at least half of the slots are in use.
+func (v *View) halfBusy() bool {
+	limit := 0
+	for _, t := range v.Targets {
+		limit += t.Limit(v.Now)
+	}
+	return 2*v.Shares.slots >= limit
+}
+
 // choose returns the target for r, or the full target to wait for and how long, or
 // neither.
 func (p *Fair) choose(v *View, r *Request) (Decision, score) {
--- a/sched/fair_test.go
+++ b/sched/fair_test.go
@@ -172,3 +172,40 @@
 		Expect(s.Request).To(Equal(want))
 	}
 })
+
+// Each row guards against new programs of one organisation that make the caches thrash
+// for all, or against holding requests back without need. The pool has 8 slots.
+var _ = DescribeTable("new programs while caches thrash",
+	func(thrash bool, slots map[string]int, req structs.AssignRequest, want bool) {
+		p := newTestPool(NewFair(), 2, 4, 4)
+		for org, n := range slots {
+			for range n {
+				p.enqueue(structs.AssignRequest{Org: org, Turn: 2})
+				Expect(p.next()).NotTo(BeNil())
+			}
+		}
+		for range minSamples {
+			p.view.Cache.now = p.now
+			p.view.Cache.noteEviction(&item{lastUsed: p.now - time.Second})
+		}
+		if !thrash {
+			p.now += thrashMemory
+		}
+		p.enqueue(req)
+		Expect(p.next() != nil).To(Equal(want))
+	},
+	Entry("desc: of an organisation far above its share wait",
+		true, map[string]int{"a": 5, "b": 1, "c": 1}, structs.AssignRequest{Org: "a"}, false),
+	Entry("desc: of batch wait for an organisation above its share",
+		true, map[string]int{"a": 4, "b": 3}, structs.AssignRequest{Org: "a", Class: structs.ClassBatch}, false),
+	Entry("desc: of an organisation within its share start",
+		true, map[string]int{"a": 5, "b": 1, "c": 1}, structs.AssignRequest{Org: "b", Class: structs.ClassBatch}, true),
+	Entry("desc: programs in progress go on",
+		true, map[string]int{"a": 5, "b": 1, "c": 1}, structs.AssignRequest{Org: "a", Turn: 2}, true),
+	Entry("desc: of an organisation that is alone start",
+		true, map[string]int{"a": 7}, structs.AssignRequest{Org: "a", Class: structs.ClassBatch}, true),
+	Entry("desc: start when most slots are free",
+		true, map[string]int{"a": 2, "b": 1}, structs.AssignRequest{Org: "a", Class: structs.ClassBatch}, true),
+	Entry("desc: start when nothing has been evicted for a while",
+		false, map[string]int{"a": 5, "b": 1, "c": 1}, structs.AssignRequest{Org: "a"}, true),
+)
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -35,7 +35,7 @@
 		weights: map[string]float64{},
 		fresh:   true,
 	}
-	p.view = View{Rand: rnd, Queue: newQueue(), Cost: newCostModel(), Cache: newCacheMap(), Slots: map[string]int{}}
+	p.view = View{Rand: rnd, Queue: newQueue(), Cost: newCostModel(), Cache: newCacheMap(), Shares: newShares()}
 	return p
 }
 
@@ -115,6 +115,7 @@
 // the request, which has left the queue.
 func (p *Pool) Next(now time.Duration, slotID string) (*Slot, *Request, bool) {
 	p.view.Now = now
+	p.view.Cache.now = now
 	d, ok := p.policy.Next(&p.view)
 	if !ok {
 		return nil, nil, false
@@ -145,7 +146,7 @@
 func (p *Pool) add(s *Slot) {
 	p.slots[s.ID] = s
 	s.Target.slots[s] = struct{}{}
-	p.view.Slots[s.Org]++
+	p.view.Shares.add(s.Org, s.Weight)
 	p.view.Queue.started(s.Org)
 }
 
@@ -184,15 +185,14 @@
 	t.prune(now)
 	t.recent = append(t.recent, span{from: s.AssignedAt, to: now})
 	p.rate.add(now)
-	if p.view.Slots[s.Org]--; p.view.Slots[s.Org] == 0 {
-		delete(p.view.Slots, s.Org)
-	}
+	p.view.Shares.remove(s.Org)
 	p.view.Queue.ended(s.Org)
 }
 
 // Release frees a slot and accounts for its outcome. Times of the release are of the
 // entry's own measurement.
 func (p *Pool) Release(now time.Duration, s *Slot, rel *structs.ReleaseSlot) {
+	p.view.Cache.now = now
 	p.correct(s, rel)
 	p.learn(now, s, rel)
 	p.Drop(now, s)
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -53,8 +53,9 @@
 	Name string
 	// served is the service received divided by the weight, on the scale of the pool's
 	// virtual time.
-	served  float64
-	waiting requestHeap
+	served float64
+	// waiting holds the requests that are not parked.
+	waiting [sides]requestHeap
 	ranks   [shedRanks]int // queued and parked requests of each shedding rank
 	running int
 	heapPos int
@@ -113,9 +114,48 @@
 	return n
 }
 
+// Sides of an organisation's queue: requests that are never held back, and those of new
+// interactive and batch programs. Lookups are too short to be worth holding back.
+const (
+	running = iota
+	newInteractive
+	newBatch
+	sides
+)
+
+// side returns the heap that r belongs to.
+func (r *Request) side() int {
+	switch {
+	case r.InProgress() || r.Class == structs.ClassLookup:
+		return running
+	case r.Class == structs.ClassBatch:
+		return newBatch
+	}
+	return newInteractive
+}
+
+// head returns the request of the first n sides that is due first, nil if there is none.
+func (o *Org) head(n int) *Request {
+	var first *Request
+	for _, h := range o.waiting[:n] {
+		if len(h) > 0 && (first == nil || h[0].before(first)) {
+			first = h[0]
+		}
+	}
+	return first
+}
+
+func (o *Org) ready() int {
+	n := 0
+	for _, h := range o.waiting {
+		n += len(h)
+	}
+	return n
+}
+
 // ready makes r eligible for assignment.
 func (q *Queue) ready(o *Org, r *Request) {
-	heap.Push(&o.waiting, r)
+	heap.Push(&o.waiting[r.side()], r)
 	if o.heapPos == notQueued {
 		heap.Push(&q.active, o)
 	}
@@ -123,8 +163,8 @@
 
 // unready takes r out of the organisation's heap.
 func (q *Queue) unready(o *Org, r *Request) {
-	heap.Remove(&o.waiting, r.heapPos)
-	if len(o.waiting) == 0 {
+	heap.Remove(&o.waiting[r.side()], r.heapPos)
+	if o.ready() == 0 {
 		heap.Remove(&q.active, o.heapPos)
 	}
 }
@@ -182,13 +222,16 @@
 // requestHeap orders the requests of an organisation by due time.
 type requestHeap []*Request
 
-func (h requestHeap) Len() int { return len(h) }
-func (h requestHeap) Less(i, j int) bool {
-	if h[i].due != h[j].due {
-		return h[i].due < h[j].due
+// before reports whether r comes first in the order of its organisation.
+func (r *Request) before(o *Request) bool {
+	if r.due != o.due {
+		return r.due < o.due
 	}
-	return h[i].seq < h[j].seq
+	return r.seq < o.seq
 }
+
+func (h requestHeap) Len() int           { return len(h) }
+func (h requestHeap) Less(i, j int) bool { return h[i].before(h[j]) }
 func (h requestHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].heapPos, h[j].heapPos = i, j
--- a/sched/shed.go
+++ b/sched/shed.go
@@ -74,12 +74,14 @@
 		if shedRank(r) != rank {
 			return
 		}
-		if last == nil || r.due > last.due || r.due == last.due && r.seq > last.seq {
+		if last == nil || last.before(r) {
 			last = r
 		}
 	}
-	for _, r := range o.waiting {
-		consider(r)
+	for _, h := range o.waiting {
+		for _, r := range h {
+			consider(r)
+		}
 	}
 	for r := range q.parked {
 		if r.Org == o.Name {
--- a/sched/types.go
+++ b/sched/types.go
@@ -63,8 +63,7 @@
 	Queue   *Queue
 	Cost    *CostModel
 	Cache   *CacheMap
-	// Slots counts the slots in use of each organisation.
-	Slots map[string]int
+	Shares  *Shares
 }
 
 // Policy decides which queued request goes to which target now. It returns false when
