sched: wait up to 10 s for a target that holds the prompt

Change: the bound of the wait is 10 s; the wait stays below the time that the cache saves. Tests of sched/compare check determinism, recomputed tokens and the share under eight times the rate.

--- a/sched/fair.go
+++ b/sched/fair.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// maxCacheWait bounds the wait for a target that holds the prompt in cache.
-	maxCacheWait = 3 * time.Second
+	// maxCacheWait bounds the wait for a target that holds the prompt in cache, beside the
+	// time that the cache saves. A long history takes several seconds to compute.
+	maxCacheWait = 10 * time.Second
 	// externality weighs the delay that a request causes to the other requests on its
 	// target against its own.
 	externality = 0.5
