--- a/internal/testsite/site.go
+++ b/internal/testsite/site.go
@@ -24,6 +24,8 @@
 	// Catalogue makes the last order stand-in serve the plain service "catalogue", which
 	// Organisations must declare.
 	Catalogue bool
+	// HostList starts the platform's list of hosts.
+	HostList bool
 	// Zones of hosts, members and entries, which are spread over them in turn.
 	Zones []string
 	// Organisations is text appended to the base file; empty: one organisation "acme"
@@ -50,12 +52,15 @@
 	Entries []*Process
 	Engines *Process
 	Orders  *Process
+	Hosts   *Process
 
-	MemberAddrs []string
-	EntryAddrs  []string
-	EntryAdmin  []string
-	EngineAddrs []string
-	OrderAddrs  []string
+	// HostListAddr is the address of the platform's list of hosts.
+	HostListAddr string
+	MemberAddrs  []string
+	EntryAddrs   []string
+	EntryAdmin   []string
+	EngineAddrs  []string
+	OrderAddrs   []string
 
 	// relays[from][to]; entries follow the members in from.
 	relays [][]*Relay
@@ -96,7 +101,7 @@
 
 // Close ends all processes and relays.
 func (s *Site) Close() {
-	for _, p := range append(append([]*Process{s.Engines, s.Orders}, s.Entries...), s.Members...) {
+	for _, p := range append(append([]*Process{s.Engines, s.Orders, s.Hosts}, s.Entries...), s.Members...) {
 		if p != nil {
 			p.Thaw()
 			p.Kill()
@@ -122,6 +127,9 @@
 	if s.EngineAddrs, err = startStandin(s.Engines, s.opts.Engines); err != nil {
 		return err
 	}
+	if err := s.startHostList(); err != nil {
+		return err
+	}
 	if s.opts.Orders == 0 {
 		return nil
 	}
@@ -130,6 +138,20 @@
 	return err
 }
 
+func (s *Site) startHostList() error {
+	if !s.opts.HostList {
+		return nil
+	}
+	s.Hosts = s.process("hosts", "figlb-standin", "-role", "hostlist", "-listen", "127.0.0.1:0")
+	addrs, err := startStandin(s.Hosts, 1)
+	if err != nil {
+		return err
+	}
+	s.HostListAddr = addrs[0]
+	s.opts.StateExtra += "\nhost_list = http://" + addrs[0] + "/hosts"
+	return nil
+}
+
 func startStandin(p *Process, n int) ([]string, error) {
 	if err := p.Start(); err != nil {
 		return nil, err
--- a/test/e2e/atmostonce_test.go
+++ b/test/e2e/atmostonce_test.go
@@ -73,6 +73,30 @@
 	Expect(err).NotTo(HaveOccurred())
 }
 
+// judgeOrders compares what callers learned with what the service executed. It returns the
+// number of unknown outcomes.
+func judgeOrders(s *testsite.Site, outcomes []orderOutcome) (unknown int) {
+	GinkgoHelper()
+	ran := executions(s)
+	for _, o := range outcomes {
+		Expect(ran[o.key]).To(BeNumerically("<=", 1), "%s was executed more than once", o.key)
+		switch {
+		case len(o.bodies) > 0:
+			Expect(o.bodies).To(HaveLen(1), "%s has different answers", o.key)
+			Expect(ran[o.key]).To(Equal(1), "%s was acknowledged and not executed", o.key)
+		case o.refused:
+			Expect(o.err).To(HaveField("Status", 503), "only the injected error is passed on")
+		case o.unknown:
+			unknown++
+		case o.notRun:
+			Expect(ran[o.key]).To(BeZero(), "%s was reported as not run and was executed", o.key)
+		default:
+			Fail(fmt.Sprintf("%s has no outcome: %v", o.key, o.err))
+		}
+	}
+	return unknown
+}
+
 // Guards against a payment or print order that happens twice, an acknowledged one that did
 // not happen, and a "not run" that is not true.
 var _ = Describe("calls that may not be repeated", func() {
@@ -104,27 +128,6 @@
 		return outcomes
 	}
 
-	judge := func(s *testsite.Site, outcomes []orderOutcome) (unknown int) {
-		ran := executions(s)
-		for _, o := range outcomes {
-			Expect(ran[o.key]).To(BeNumerically("<=", 1), "%s was executed more than once", o.key)
-			switch {
-			case len(o.bodies) > 0:
-				Expect(o.bodies).To(HaveLen(1), "%s has different answers", o.key)
-				Expect(ran[o.key]).To(Equal(1), "%s was acknowledged and not executed", o.key)
-			case o.refused:
-				Expect(o.err).To(HaveField("Status", 503), "only the injected error is passed on")
-			case o.unknown:
-				unknown++
-			case o.notRun:
-				Expect(ran[o.key]).To(BeZero(), "%s was reported as not run and was executed", o.key)
-			default:
-				Fail(fmt.Sprintf("%s has no outcome: %v", o.key, o.err))
-			}
-		}
-		return unknown
-	}
-
 	It("are executed at most once while entries and leaders are killed", func() {
 		s := startSite(testsite.Options{Members: 3, Entries: 4, Engines: 1, Orders: 2})
 		c, _ := grant(s, "acme")
@@ -139,7 +142,7 @@
 			s.Members[leader].Kill()
 			Expect(s.Members[leader].Start()).To(Succeed())
 		})
-		unknown := judge(s, outcomes)
+		unknown := judgeOrders(s, outcomes)
 		AddReportEntry("unknown outcomes", unknown)
 	})
 
@@ -151,7 +154,7 @@
 			map[string]any{"kind": "drop_after", "probability": 0.2},
 			map[string]any{"kind": "error", "status": 503, "probability": 0.1},
 			map[string]any{"kind": "redirect", "location": "http://" + s.OrderAddrs[0] + "/orders", "probability": 0.1})
-		judge(s, runOrders(s, c, 200, func() {}))
+		judgeOrders(s, runOrders(s, c, 200, func() {}))
 	})
 
 	It("stay unknown until an operator settles them, and are then answered from the record", func() {
--- a/test/e2e/targets_test.go
+++ b/test/e2e/targets_test.go
@@ -79,6 +79,23 @@
 		Expect(stop()).To(BeEmpty())
 	})
 
+	// Guards against work that is sent to a host which the platform is about to take away.
+	It("on a leaving host get no new work after 4 s", func() {
+		s := startSite(testsite.Options{Members: 3, Entries: 4, Engines: 3, HostList: true})
+		c, _ := grant(s, "acme")
+		stop := singles(c, s.EntryAddrs, 12)
+		time.Sleep(time.Second)
+		_, err := newCaller("").do(http.MethodPost, "http://"+s.HostListAddr+"/admin/hosts", nil,
+			map[string]any{"hosts": []map[string]string{{"name": "gpu-1", "state": "leaving"}, {"name": "gpu-2", "state": "live"}, {"name": "gpu-3", "state": "live"}}})
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(inForce)
+		before := engineStats(s.EngineAddrs[0]).Requests
+		Expect(before).To(BeNumerically(">", 0))
+		time.Sleep(2 * time.Second)
+		Expect(engineStats(s.EngineAddrs[0]).Requests).To(Equal(before))
+		Expect(stop()).To(BeEmpty())
+	})
+
 	// Guards against eight entries that together overload a target in cold start.
 	It("in cold start get no more than they can carry from eight entries together", func() {
 		s := startSite(testsite.Options{Members: 3, Entries: 8, Engines: 2, Slots: 16, ColdSlots: 2,
