Make the entry of a new data directory durable

Start created the directory itself, so wal.Open took it for an old one and did not sync its parent: a machine that lost power could lose the whole directory after the member had acknowledged entries. wal.Open creates and syncs it now.

go test -race ./replica passes (48 s).

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"sort"
 	"strconv"
 	"sync"
@@ -45,9 +44,6 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
-	if err := os.MkdirAll(cfg.DataDir, 0o755); err != nil {
-		return nil, errors.WithStack(err)
-	}
 	r := &Replica{
 		cfg:    cfg,
 		log:    cfg.Log,
