figlb-state: spread the leaders of groups over the members

Ruled out: spreading at once; a hand-over pauses assignments for up to 1 s, so it happens only after a member has led for a minute (spread_after). Change: the setting and an end-to-end test under load. Conclusion: load spreads without errors; the pause was not measured.

--- a/cmd/figlb-state/node.go
+++ b/cmd/figlb-state/node.go
@@ -27,6 +27,8 @@
 		TLS:       tlsConf,
 		Bootstrap: bootstrap,
 		Log:       log,
+
+		SpreadAfter: file.State.SpreadAfter,
 	})
 	if err != nil {
 		return nil, err
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -66,6 +66,9 @@
 	// ended programs and finished calls stay readable.
 	ProgramIdle time.Duration `ini:"program_idle,min=1s"`
 	KeepEnded   time.Duration `ini:"keep_ended,min=1s"`
+	// SpreadAfter is the time for which a member leads a group before it hands it over to
+	// the member that the group's number assigns; 0: never.
+	SpreadAfter time.Duration `ini:"spread_after,min=0s"`
 	// HostList is the URL of the platform's list of live and leaving hosts; empty: none.
 	HostList string `ini:"host_list"`
 }
@@ -95,6 +98,7 @@
 	defaultBodyTimeout   = 10 * time.Second
 	defaultProgramIdle   = 24 * time.Hour
 	defaultKeepEnded     = time.Hour
+	defaultSpreadAfter   = time.Minute
 )
 
 // LoadEntry reads and checks the settings file of an entry.
@@ -125,7 +129,7 @@
 // LoadState reads and checks the settings file of a state member.
 func LoadState(path string) (*StateFile, error) {
 	f := &StateFile{
-		State: State{Groups: DefaultGroups, ProgramIdle: defaultProgramIdle, KeepEnded: defaultKeepEnded},
+		State: State{Groups: DefaultGroups, ProgramIdle: defaultProgramIdle, KeepEnded: defaultKeepEnded, SpreadAfter: defaultSpreadAfter},
 		Trace: defaultTrace(),
 		Log:   Log{Level: "info"},
 	}
--- a/test/e2e/state_test.go
+++ b/test/e2e/state_test.go
@@ -1,6 +1,7 @@
 package e2e_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -85,6 +86,23 @@
 		Expect(l.finish()).To(BeEmpty())
 	})
 
+	// Guards against one member that leads all groups, and against errors from a hand-over.
+	It("spreads its leaders over the members without an error for callers", func() {
+		start(3, "spread_after = 2s")
+		Expect(testsite.Within(20*time.Second, func() error {
+			leaders := map[int]bool{}
+			for g := range 3 {
+				leaders[leaderOf(s, g)] = true
+			}
+			if len(leaders) < 3 {
+				return fmt.Errorf("3 groups are led by %d members", len(leaders))
+			}
+			return nil
+		})).To(Succeed())
+		l.waitTurns(20, newLeader)
+		Expect(l.finish()).To(BeEmpty())
+	})
+
 	It("restarts all members at once without losing a turn", func() {
 		start(3, "")
 		for _, m := range s.Members {
