demo: declare rates to the load tool, and write its report as JSON

Cause: wrongful refusals were not judged without the organisations' limits. Change: RATE and JSON for scripts/demo.sh; limits from the overlay.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -2,6 +2,8 @@
 # Brings up a site on this machine with stand-ins for its model engines and services, runs
 # agent programs through it, takes an availability zone out and back, and stops it.
 # Usage: scripts/demo.sh [neng|ng-south] [SECONDS]
+# RATE is the number of programs that each organisation starts in a second (default 1);
+# JSON names a file for the whole report.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -111,14 +113,15 @@
 	cat examples/load/programs.ini
 	awk '/^\[organisation /{gsub(/[\[\]]/, ""); print $2}' "$overlay" | while read -r org; do
 		key=$(bin/figlbctl key grant "$org" -output json | sed -n 's/.*"key": "\(.*\)",/\1/p')
-		printf '\n[organisation %s]\nkey = %s\nprograms = 1/s\n' "$org" "$key"
+		limits=$(awk -v org="[organisation $org]" '/^\[/ {on = $0 == org} on && /^(rate|burst) /' "$overlay")
+		printf '\n[organisation %s]\nkey = %s\nprograms = %s/s\n%s\n' "$org" "$key" "${RATE:-1}" "$limits"
 	done
 } >"$dir/load.ini"
 bin/figlbctl key list | head -n 3
 sleep 2
 
 step "running programs for $seconds s; zone ${zone[0]} goes out after a third and returns after two thirds"
-bin/figlb-load -config "$dir/load.ini" -entries "$urls" -executions "http://$(addresses "service = orders" | cut -d, -f1)" -duration "${seconds}s" >"$dir/report.txt" &
+bin/figlb-load -config "$dir/load.ini" -entries "$urls" -executions "http://$(addresses "service = orders" | cut -d, -f1)" -duration "${seconds}s" ${JSON:+-json "$JSON"} >"$dir/report.txt" &
 load=$!
 sleep $((seconds / 3))
 bin/figlbctl drain zone "${zone[0]}"
