--- a/load/config.go
+++ b/load/config.go
@@ -16,8 +16,8 @@
 	Seed    int64    `ini:"seed"`
 	// Duration is the time in which programs arrive; the run ends when they have ended.
 	Duration time.Duration `ini:"duration,min=10ms"`
-	// Patience bounds how long a caller resends one request.
-	Patience time.Duration `ini:"patience,min=0s"`
+	// RetryFor bounds how long a caller resends one request.
+	RetryFor time.Duration `ini:"retry_for,min=0s"`
 	// Timeout bounds one attempt, so that an entry that hangs does not stop the run.
 	Timeout time.Duration `ini:"timeout,min=10ms"`
 	// Executions lists base URLs of order stand-ins that do not share a store.
@@ -72,7 +72,7 @@
 
 // Defaults returns a configuration without entries, organisations and kinds.
 func Defaults() Config {
-	return Config{Seed: 1, Duration: 10 * time.Second, Patience: 20 * time.Second, Timeout: 2 * time.Minute}
+	return Config{Seed: 1, Duration: 10 * time.Second, RetryFor: 20 * time.Second, Timeout: 2 * time.Minute}
 }
 
 // DefaultKind returns a small interactive program.
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -131,7 +131,7 @@
 			DeferCleanup(front.Close)
 			res, got := run(front.URL, func(c *load.Config, k *load.Kind) {
 				c.Executions = []string{service.URL()}
-				c.Patience = 200 * time.Millisecond
+				c.RetryFor = 200 * time.Millisecond
 				k.Order, k.FullHistory, k.MaxTurns = 1, 1, 1
 			})
 			Expect(got).To(ConsistOf(violations))
@@ -164,7 +164,7 @@
 			DeferCleanup(front.Close)
 			res, _ := run(front.URL, func(c *load.Config, _ *load.Kind) {
 				c.Orgs[0].Rate, c.Orgs[0].Burst = 0.001, burst
-				c.Patience = 0
+				c.RetryFor = 0
 			})
 			Expect(res.Orgs["a"].Refused).To(BeNumerically(">", 0))
 			Expect(res.Orgs["a"].RefusedWithinRate > 0).To(Equal(wrongful))
--- a/load/program.go
+++ b/load/program.go
@@ -177,7 +177,7 @@
 }
 
 // resend sends a request until it gets an answer, or an error that does not allow a
-// resend, or patience ends. The first token is counted from the first attempt.
+// resend, or the time to retry ends. The first token is counted from the first attempt.
 func (p *program) resend(ctx context.Context, c call) *reply {
 	start := time.Now()
 	backoff := defaultRetryAfter
@@ -207,7 +207,7 @@
 			wait = backoff
 			backoff = min(2*backoff, maxBackoff)
 		}
-		if !r.fail.retryable() || ctx.Err() != nil || time.Since(start)+wait > p.d.cfg.Patience {
+		if !r.fail.retryable() || ctx.Err() != nil || time.Since(start)+wait > p.d.cfg.RetryFor {
 			p.d.rec.gaveUp(p.org.Name, r.fail)
 			return r
 		}
