--- a/cmd/figlb-entry/main.go
+++ b/cmd/figlb-entry/main.go
@@ -12,12 +12,18 @@
 
 	"github.com/figlb/figlb/entry"
 	"github.com/figlb/figlb/settings"
+	"github.com/figlb/figlb/structs"
 	"github.com/figlb/figlb/telemetry"
 )
 
 func main() {
-	config := flag.String("config", "entry.ini", "settings `file`")
+	config := flag.String("config", "", "settings `FILE` (required)")
+	showVersion := flag.Bool("version", false, "print the version and exit")
 	flag.Parse()
+	if *showVersion {
+		fmt.Println("figlb-entry", structs.Version)
+		return
+	}
 	if err := run(*config); err != nil {
 		fmt.Fprintln(os.Stderr, "figlb-entry:", err)
 		os.Exit(1)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,6 +4,8 @@
 	"net"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/figlb/figlb/inifile"
 )
 
@@ -145,6 +147,9 @@
 func defaultTrace() Trace { return Trace{Exporter: "none", Sampler: 1} }
 
 func load(path string, targets map[string]any, main string, check func(*inifile.Section) inifile.Problems) error {
+	if path == "" {
+		return errors.New("no settings file named; use -config FILE")
+	}
 	sections, ps, err := inifile.Load(path)
 	if err != nil {
 		return err
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -66,6 +66,11 @@
 		Entry("a member list without this member", "[state]\nid = s9\n"+stateText[len("[state]\nid = s1\n"):], "id s9 is not listed"),
 	)
 
+	It("asks for a file if none is named", func() {
+		_, err := settings.LoadState("")
+		Expect(err).To(MatchError(ContainSubstring("use -config FILE")))
+	})
+
 	It("names a missing file", func() {
 		_, err := settings.LoadEntry("missing.ini")
 		Expect(err).To(MatchError(ContainSubstring("cannot read missing.ini")))
