dispatch: keep requests waiting until the configuration is known

Ruled out: a drain or a lost declaration; the configuration was in force. Change: no_target is said only on a confirmed configuration. Figures: the new spec fails without the change and passes with it. Conclusion: a restarted leader refuses nothing for want of knowledge.

--- a/dispatch/assign.go
+++ b/dispatch/assign.go
@@ -37,7 +37,9 @@
 		return w, nil
 	}
 	s.syncConfig(now)
-	if len(s.pool.Targets()) == 0 {
+	// A member that has just started may lead before it has read the configuration; then
+	// the request waits.
+	if len(s.pool.Targets()) == 0 && s.configConfirmed() {
 		return nil, errs.New(errs.NoTarget, "add a target for it to the declaration",
 			"pool %s has no target", s.name).WithRetryAfter(noTargetRetry)
 	}
--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -200,6 +200,23 @@
 		Entry("desc: configuration not confirmed", func(f *fleet) { f.age.Store(int64(4 * time.Second)) }),
 	)
 
+	// A member that restarted and led at once refused requests with no_target, because it
+	// had not read the configuration yet.
+	It("keeps requests waiting while the configuration is not known yet", func() {
+		f := newFleet(1, &dispatch.Topology{}, dispatch.Options{})
+		f.age.Store(int64(time.Hour))
+		e, _ := newEntry(f, "e1")
+		got := make(chan error, 1)
+		go func() {
+			_, err := e.Assign(within(10*time.Second), e.request("early"))
+			got <- err
+		}()
+		Consistently(got, 3500*time.Millisecond).ShouldNot(Receive())
+		f.topo.Store(targets(1, 4, 1))
+		f.age.Store(0)
+		Eventually(got, 5*time.Second).Should(Receive(BeNil()))
+	})
+
 	It("starts a zone that returns at the cold-start limit", func() {
 		f := newFleet(1, targets(1, 4, 1), dispatch.Options{})
 		e, _ := newEntry(f, "e1")
--- a/dispatch/shard.go
+++ b/dispatch/shard.go
@@ -130,12 +130,15 @@
 // reported their slots or ReportWait has passed.
 func (s *shard) mayAssign(now time.Duration) bool {
 	age := now - s.startedAt
-	if age < s.opts.OldLease || s.src.Age() > s.opts.MaxConfigAge {
+	if age < s.opts.OldLease || !s.configConfirmed() {
 		return false
 	}
 	return age >= s.opts.ReportWait || s.allReported()
 }
 
+// configConfirmed reports whether the configuration was confirmed lately.
+func (s *shard) configConfirmed() bool { return s.src.Age() <= s.opts.MaxConfigAge }
+
 func (s *shard) allReported() bool {
 	live, known := s.src.LiveEntries()
 	if !known {
@@ -230,6 +233,9 @@
 
 // refuseHopeless refuses requests that no target in service may serve.
 func (s *shard) refuseHopeless(now time.Duration) {
+	if !s.configConfirmed() {
+		return
+	}
 	for id, w := range s.requests {
 		if w.assignment != nil || now-w.req.Enqueued < noTargetAfter || s.pool.UsableFor(w.req) {
 			continue
