gateway: calls of programs under way are admitted on credit without a leader

Gateways keep no rate in reserve where each of 74 sees a request of an organisation now and then, so calls of programs wait for the next leader, 2.2 s later. A lookup has 1.2 s; a program is lost with the first call that fails: 85 calls and 73 turns refused as unavailable are in the sampled log of that window.

Change: while two or more other gateways tell that the leader is absent for them too, a gateway admits requests of programs under way at 7 tenths of the pace of the organisation before that, one at least, for 2 s after its last answered poll. New programs wait as before.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -60,6 +60,9 @@
 	taken   float64 // since the last poll
 	demand  float64 // mean for each poll interval
 	waiting float64 // requests that wait for a token
+	// granted counts the tokens used since the last poll that was answered, pace is their mean
+	// for each poll interval, and credit counts the requests admitted without one since then.
+	granted, pace, credit float64
 	// scarce tells that the rate is nearly used up; recover is when it will not be.
 	scarce  bool
 	recover time.Duration
@@ -105,6 +108,9 @@
 		if !known && al.scarce {
 			return rateLimited(org.Name, al.recover-clock.Now())
 		}
+		if known && program != "" && a.onCredit(org.Name, al) {
+			return nil
+		}
 		if a.g.contact.cutOff() {
 			return hostCutOff()
 		}
@@ -116,6 +122,7 @@
 		a.await(ctx, min(rest, pollInterval), org.Name, al)
 	}
 	al.tokens--
+	al.granted++
 	if !known {
 		a.programs.add(key(org.Name, program))
 	}
@@ -259,9 +266,14 @@
 	return out
 }
 
+// granted takes over the grants of a poll that was answered.
 func (a *admission) granted(grants map[string]fleet.Grant) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	for _, al := range a.m {
+		al.pace += demandShare * (al.granted - al.pace)
+		al.granted, al.credit = 0, 0
+	}
 	for org, grant := range grants {
 		a.add(org, a.of(org), grant)
 	}
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,3 +64,65 @@
 	NewWithT(t).Expect(err.RetryAfter).To(BeNumerically(">=", time.Second))
 	NewWithT(t).Expect(time.Since(began)).To(BeNumerically("<", left))
 }
+
+// Guards against programs that fail, while all controllers restart, with calls that have less
+// time than that takes. Load: a program makes calls in the second after the leader has gone.
+func TestAdmissionOnCredit(t *testing.T) {
+	const (
+		absent = 600 * time.Millisecond
+		left   = 300 * time.Millisecond // of a call of 1.2 s that has waited and was sent again
+	)
+	for _, c := range []struct {
+		desc    string
+		absent  time.Duration
+		peers   []time.Duration // since the last answer that they had from the leader
+		known   bool            // the program is under way
+		pace    float64         // requests of the organisation in a poll interval
+		calls   int
+		granted int
+	}{
+		{"a program under way", absent, []time.Duration{absent, absent}, true, 0, 1, 1},
+		{"more calls than the usual pace", absent, []time.Duration{absent, absent}, true, 1, 8, 3},
+		{"a new program", absent, []time.Duration{absent, absent}, false, 10, 1, 0},
+		{"others are in touch", absent, []time.Duration{absent, 0}, true, 10, 1, 0},
+		{"the others are not known", absent, []time.Duration{absent}, true, 10, 1, 0},
+		{"longer than an election", creditPeriod + absent, []time.Duration{absent, absent}, true, 10, 1, 0},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := confirmedGateway(t, c.absent)
+			var peers []string
+			for _, ago := range c.peers {
+				peers = append(peers, peer(t, confirmedGateway(t, ago)))
+			}
+			g.contact.setPeers(peers)
+			g.contact.check(context.Background())
+			if c.known {
+				g.rates.programs.add(key("acme", "p"))
+			}
+			g.rates.of("acme").pace = c.pace
+			var granted atomic.Int32
+			var calls sync.WaitGroup
+			for range c.calls {
+				calls.Go(func() {
+					if g.rates.admit(context.Background(), &routing.Organisation{Name: "acme", Rate: 10}, "p", left) == nil {
+						granted.Add(1)
+					}
+				})
+			}
+			calls.Wait()
+			NewWithT(t).Expect(int(granted.Load())).To(Equal(c.granted))
+		})
+	}
+}
+
+// Guards against credit that is given again and again without an answer of the leader, and
+// against a pace that counts requests which were refused.
+func TestCreditEndsWithAnAnswer(t *testing.T) {
+	g := NewWithT(t)
+	a := newAdmission(confirmedGateway(t, 0))
+	al := a.of("acme")
+	al.taken, al.granted, al.credit = 100, 10, 5
+	a.granted(nil)
+	g.Expect(al.pace).To(BeNumerically("~", 10*demandShare, 0.001))
+	g.Expect(al.credit).To(BeZero())
+}
--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -30,6 +30,7 @@
 	mu    sync.Mutex
 	peers []string // addresses, of the last poll that was answered
 	cut   bool
+	lost  bool // at least minPeers have answered, and none is in touch with the leader
 }
 
 // Register adds the methods that other gateways call: the question for the contact, and the
@@ -88,6 +89,17 @@
 	return c.cut && !c.g.opts.Client.Relaying()
 }
 
+// leaderLost reports whether the leader is absent for the other gateways too, as far as some of
+// them have told.
+func (c *contact) leaderLost() bool {
+	if !c.g.config.leaderAbsent() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lost
+}
+
 // avoid reports whether callers are better off at other gateways.
 func (c *contact) avoid() bool { return c.cutOff() || c.g.opts.Client.Relaying() }
 
@@ -137,6 +149,7 @@
 	c.mu.Lock()
 	changed := c.cut != cut
 	c.cut = cut
+	c.lost = answered >= minPeers && len(relays) == 0
 	asked := len(c.peers)
 	c.mu.Unlock()
 	if changed {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -15,6 +15,7 @@
 	served       metrics.Counter
 	pollFailures metrics.Counter
 	relayed      metrics.Counter   // calls of other gateways, passed on to the controllers
+	credit       metrics.Counter   // requests admitted without a grant
 	latency      metrics.Histogram // in microseconds
 	second       atomic.Int64
 	lines        atomic.Int64
@@ -34,6 +35,7 @@
 		served:       metrics.GetOrRegisterCounter("gateway.served", r),
 		pollFailures: metrics.GetOrRegisterCounter("gateway.poll_failures", r),
 		relayed:      metrics.GetOrRegisterCounter("gateway.relayed", r),
+		credit:       metrics.GetOrRegisterCounter("gateway.admitted_on_credit", r),
 		latency:      metrics.GetOrRegisterHistogram("gateway.latency_us", r, metrics.NewExpDecaySample(latencySamples, latencyDecay)),
 	}
 }
