gateway: refuse turns that cannot end in the time left

Cause: after the same loss of power, turns that had waited 2 s of their 3 s, and their retries with 0.5 s left, are sent to engines and run into their deadlines: 42 of some 660 sampled turns between 4 s and 6 s. The caller then sends the turn again with its full time; the engine's work and the tokens of the budget are lost.

Change: a turn with less time left than the median of whole turns of its route is refused at once as not run, before it waits for anything and again after it has waited for the ledger. The median is bounded by a quarter of the route's timeout, so turns with their full time are never refused for it. Streams that are resumed are let through.

--- a/gateway/adapter.go
+++ b/gateway/adapter.go
@@ -37,6 +37,8 @@
 	MaxTokens int64
 	Previous  string // the turn that this one continues
 	Affinity  string // equal for requests on the same object
+	// Resumes tells that the caller has the beginning of the stream and wants the rest.
+	Resumes bool
 }
 
 // Delivery is what figlb tells a target beside the caller's own header.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -74,6 +74,9 @@
 	if x.g.config.isBlocked(x.digest()) {
 		return errs.New(errs.RequestQuarantined, "change the request", "the request has taken down %s", "several targets")
 	}
+	if err := x.inTime(); err != nil {
+		return err
+	}
 	if err := x.screen(ctx); err != nil {
 		return err
 	}
@@ -85,6 +88,10 @@
 	if err := x.reserve(ctx); err != nil {
 		return err
 	}
+	if err := x.inTime(); err != nil { // it may have waited
+		x.release()
+		return err
+	}
 	return x.forward(ctx)
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -81,6 +81,9 @@
 	err := x.copyEvents(answer, rec, t, sent)
 	answer.Finish(err == nil)
 	x.notePace(rec)
+	if err == nil {
+		x.g.runs.note(x.route.Name, clock.Now()-sent)
+	}
 	switch {
 	case err != nil && x.note != noteStarted:
 		return x.spoiled(t, err)
