soak: check that withdrawn keys stop working

Cause: the soak did not detect a gateway that stays with an older configuration: its organisations kept their keys through all versions.

Change: one more organisation has a key that changes every eight versions. A caller asks gateways with keys that were withdrawn more than 5 s before, which must not be served, and with the one in force, which must be served at least once.

--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -81,11 +81,15 @@
 		wg.Go(func() { w.client(ctx, rand.New(rand.NewSource(opts.Seed*1000+int64(i))), i) })
 	}
 	wg.Go(func() { w.operate(ctx) })
+	wg.Go(func() { w.probe(ctx) })
 	s.inject(time.Now().Add(opts.Length), func(f string) { rep.Faults = append(rep.Faults, f) })
 	w.checkRecovery()
 	cancel()
 	wg.Wait()
 	w.check(rep)
+	if w.probesServed == 0 {
+		rep.Broken = append(rep.Broken, "no request with the rotating key was served, so withdrawn keys were not tested")
+	}
 	if len(rep.Broken) > 0 {
 		rep.Logs = filepath.Join(opts.Keep, fmt.Sprintf("soak-%d", opts.Seed))
 		if opts.Keep == "" {
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -21,6 +21,9 @@
 	faults   []string // promises broken
 	acked    int      // newest acknowledged version
 	sent     int
+	revoked  map[int]time.Time // by generation of the rotating key
+
+	probesServed int // used by the probe alone until it has ended
 }
 
 // attempt is one request of a caller with its result.
@@ -42,7 +45,7 @@
 )
 
 func newWorld(s *site) *world {
-	w := &world{s: s, keys: map[string]string{}, orgs: []string{"org-a", "org-b", "org-c"}}
+	w := &world{s: s, keys: map[string]string{}, revoked: map[int]time.Time{}, orgs: []string{"org-a", "org-b", "org-c"}}
 	for _, o := range w.orgs {
 		w.keys[o] = "key-" + o
 	}
@@ -159,13 +162,14 @@
 func (w *world) put(version int) bool {
 	var op standin.Operator
 	cs := w.s.of("controller")
-	body := standin.Document(version, w.keys, requestRate)
+	body := standin.Document(version, w.keysAt(version), requestRate)
 	ok := op.Put(cs[rand.Intn(len(cs))].address(standin.ControlPort), body)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sent = max(w.sent, version)
 	if ok {
 		w.acked = max(w.acked, version)
+		w.noteRevoked(version)
 	}
 	return ok
 }
