internal/indexheap: one heap of elements that know their index

Cause: the scheduler's requests, its organisations and the waiting jobs of the stand-in engine each had the same five methods of container/heap.

Change: a generic heap whose elements give an order and the place of their index; call sites keep the functions of container/heap.

--- /dev/null
+++ b/internal/indexheap/heap_test.go
@@ -0,0 +1,54 @@
+package indexheap
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+type item struct{ key, index int }
+
+func (i *item) Before(o *item) bool { return i.key < o.key }
+func (i *item) HeapIndex() *int     { return &i.index }
+
+// Guards against elements whose index is wrong after others have moved, so that another element
+// is removed instead of them.
+func TestElementsKnowTheirIndex(t *testing.T) {
+	g := NewWithT(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	var h Heap[*item]
+	held := map[*item]bool{}
+	for range 2000 {
+		switch {
+		case len(held) == 0 || rng.IntN(3) > 0:
+			e := &item{key: rng.IntN(100), index: Outside}
+			heap.Push(&h, e)
+			held[e] = true
+		case rng.IntN(2) == 0:
+			for e := range held {
+				heap.Remove(&h, e.index)
+				g.Expect(e.index).To(Equal(Outside))
+				delete(held, e)
+				break
+			}
+		default:
+			e := h[rng.IntN(len(h))]
+			e.key = rng.IntN(100)
+			heap.Fix(&h, e.index)
+		}
+		g.Expect(h).To(HaveLen(len(held)))
+		for i, e := range h {
+			if e.index != i {
+				t.Fatalf("element %d has the index %d", i, e.index)
+			}
+		}
+	}
+	last := -1
+	for len(h) > 0 {
+		e := heap.Pop(&h).(*item)
+		g.Expect(e.key).To(BeNumerically(">=", last))
+		last = e.key
+	}
+}
--- a/sched/fair.go
+++ b/sched/fair.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"sort"
 	"time"
+
+	"github.com/figlb/figlb/internal/indexheap"
 )
 
 const (
@@ -77,7 +79,7 @@
 		if d, ok := p.searchOrg(v, o); ok {
 			return d, true
 		}
-		if o.heapPos != notQueued {
+		if o.heapPos != indexheap.Outside {
 			heap.Remove(&q.active, o.heapPos)
 			p.passed = append(p.passed, o)
 		}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"github.com/figlb/figlb/internal/indexheap"
 	"github.com/figlb/figlb/structs"
 )
 
@@ -83,7 +84,7 @@
 func (q *Queue) org(name string) *Org {
 	o := q.orgs[name]
 	if o == nil {
-		o = &Org{Name: name, heapPos: notQueued}
+		o = &Org{Name: name, heapPos: indexheap.Outside}
 		q.orgs[name] = o
 	}
 	return o
@@ -138,7 +139,7 @@
 func (o *Org) head(n int) *Request {
 	var first *Request
 	for _, h := range o.waiting[:n] {
-		if len(h) > 0 && (first == nil || h[0].before(first)) {
+		if len(h) > 0 && (first == nil || h[0].Before(first)) {
 			first = h[0]
 		}
 	}
@@ -156,7 +157,7 @@
 // ready makes r eligible for assignment.
 func (q *Queue) ready(o *Org, r *Request) {
 	heap.Push(&o.waiting[r.side()], r)
-	if o.heapPos == notQueued {
+	if o.heapPos == indexheap.Outside {
 		heap.Push(&q.active, o)
 	}
 }
@@ -203,7 +204,7 @@
 func (q *Queue) charge(name string, cost, weight float64) {
 	o := q.org(name)
 	o.served += cost / weight
-	if o.heapPos != notQueued {
+	if o.heapPos != indexheap.Outside {
 		heap.Fix(&q.active, o.heapPos)
 	}
 }
@@ -220,64 +221,33 @@
 }
 
 // requestHeap orders the requests of an organisation by due time.
-type requestHeap []*Request
+type requestHeap = indexheap.Heap[*Request]
 
-// before reports whether r comes first in the order of its organisation.
-func (r *Request) before(o *Request) bool {
+// Before reports whether r comes first in the order of its organisation.
+func (r *Request) Before(o *Request) bool {
 	if r.due != o.due {
 		return r.due < o.due
 	}
 	return r.seq < o.seq
 }
 
-func (h requestHeap) Len() int           { return len(h) }
-func (h requestHeap) Less(i, j int) bool { return h[i].before(h[j]) }
-func (h requestHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapPos, h[j].heapPos = i, j
-}
-func (h *requestHeap) Push(x any) {
-	r := x.(*Request)
-	r.heapPos = len(*h)
-	*h = append(*h, r)
-}
-func (h *requestHeap) Pop() any {
-	old := *h
-	r := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	r.heapPos = notQueued
-	return r
-}
+// HeapIndex implements indexheap.Item.
+func (r *Request) HeapIndex() *int { return &r.heapPos }
 
 // orgHeap orders organisations by service received.
-type orgHeap []*Org
+type orgHeap = indexheap.Heap[*Org]
 
-func (h orgHeap) Len() int { return len(h) }
-func (h orgHeap) Less(i, j int) bool {
-	if h[i].served != h[j].served {
-		return h[i].served < h[j].served
+// Before reports whether o has received less service than other.
+func (o *Org) Before(other *Org) bool {
+	if o.served != other.served {
+		return o.served < other.served
 	}
-	return h[i].Name < h[j].Name
-}
-func (h orgHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapPos, h[j].heapPos = i, j
-}
-func (h *orgHeap) Push(x any) {
-	o := x.(*Org)
-	o.heapPos = len(*h)
-	*h = append(*h, o)
-}
-func (h *orgHeap) Pop() any {
-	old := *h
-	o := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	o.heapPos = notQueued
-	return o
+	return o.Name < other.Name
 }
 
+// HeapIndex implements indexheap.Item.
+func (o *Org) HeapIndex() *int { return &o.heapPos }
+
 // fifo holds requests in order of arrival. Removed ones stay as empty places until they
 // make up half of the list.
 type fifo struct {
--- a/sched/shed.go
+++ b/sched/shed.go
@@ -74,7 +74,7 @@
 		if shedRank(r) != rank {
 			return
 		}
-		if last == nil || last.before(r) {
+		if last == nil || last.Before(r) {
 			last = r
 		}
 	}
--- a/sched/types.go
+++ b/sched/types.go
@@ -21,13 +21,11 @@
 	seq      uint64
 	due      time.Duration // place in the order within the organisation
 	fifoPos  int
-	heapPos  int           // position in the organisation's heap; notQueued if outside
+	heapPos  int           // position in the organisation's heap; indexheap.Outside if in none
 	parkedOn *Target       // the caching target the request waits for
 	parkedTo time.Duration // end of that wait
 }
 
-const notQueued = -1
-
 // InProgress reports whether the request belongs to a program that has had an answer.
 func (r *Request) InProgress() bool { return r.Turn > 1 || r.Attained > 0 }
 
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"strings"
 	"time"
+
+	"github.com/figlb/figlb/internal/indexheap"
 )
 
 // job is a request in the engine. Its fields are guarded by Engine.mu, but for out,
@@ -23,40 +25,23 @@
 	sent      int
 	crash     bool
 	cancelled bool
-	index     int // position in the waiting heap, -1 when running
+	index     int // position in the waiting heap, indexheap.Outside when running
 	out       chan string
 }
 
 // waiting orders jobs by priority, then by arrival.
-type waiting []*job
+type waiting = indexheap.Heap[*job]
 
-func (q waiting) Len() int { return len(q) }
-func (q waiting) Less(i, j int) bool {
-	if q[i].priority != q[j].priority {
-		return q[i].priority < q[j].priority
+// Before implements indexheap.Item.
+func (j *job) Before(o *job) bool {
+	if j.priority != o.priority {
+		return j.priority < o.priority
 	}
-	return q[i].id < q[j].id
-}
-func (q waiting) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
+	return j.id < o.id
 }
 
-// Push implements heap.Interface.
-func (q *waiting) Push(x any) {
-	j := x.(*job)
-	j.index = len(*q)
-	*q = append(*q, j)
-}
-
-// Pop implements heap.Interface.
-func (q *waiting) Pop() any {
-	old := *q
-	j := old[len(old)-1]
-	*q = old[:len(old)-1]
-	j.index = -1
-	return j
-}
+// HeapIndex implements indexheap.Item.
+func (j *job) HeapIndex() *int { return &j.index }
 
 // submit counts a job, queues it and wakes the loop. It returns false if a cold engine
 // does not take it.
@@ -90,7 +75,6 @@
 	j.cancelled = true
 	if j.index >= 0 {
 		heap.Remove(&e.queue, j.index)
-		j.index = -1
 	}
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/figlb/figlb/internal/indexheap"
 	"github.com/figlb/figlb/standin/server"
 )
 
@@ -114,7 +115,7 @@
 
 func (e *Engine) forgetJobs() {
 	for _, j := range e.queue {
-		j.index = -1
+		j.index = indexheap.Outside
 	}
 	e.queue, e.running = nil, nil
 }
