gateway: the leader is absent since its last answer, not since the last send

All processes restart, the first poll of a gateway is sent 1.1 s before a leader is elected and answered by it. The gateway took the age of that poll for the time without a leader: more than a second, with no other host known yet, counts as cut off. 16 requests that had waited up to 1 s for the answer were refused when it came, at two of eight gateways, with the configuration just in force. After every change of leader the next 0.2 s count as an absence for the same reason.

Ruled out: a lost poll (the next one is answered 0.2 s later), relays (none).

Change: absence counts from the arrival of the last answer.

Tried and taken back: waiting seven tenths instead of two fifths of a request's time for the first configuration; a test demands that other hosts have time left.

Test: TestLateFirstAnswer fails before.

--- a/gateway/contact_test.go
+++ b/gateway/contact_test.go
@@ -10,6 +10,8 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/fleet"
+	"github.com/figlb/figlb/gateway/balance"
 	"github.com/figlb/figlb/internal/clock"
 	"github.com/figlb/figlb/routing"
 	"github.com/figlb/figlb/stateclient"
@@ -31,12 +33,19 @@
 	t.Cleanup(cancel)
 	g := &Gateway{opts: Options{Client: client}, log: logr.Discard(), ctx: ctx, metrics: newMetrics(metrics.NewRegistry())}
 	g.config = &follower{g: g}
-	g.config.confirmed.Store(int64(clock.Now() - ago))
+	setAnswered(g, ago)
 	g.contact = &contact{g: g}
 	g.rates = newAdmission(g)
 	return g
 }
 
+// setAnswered makes the last poll of a gateway one that was sent and answered some time ago.
+func setAnswered(g *Gateway, ago time.Duration) {
+	at := int64(clock.Now() - ago)
+	g.config.confirmed.Store(at)
+	g.config.answered.Store(at)
+}
+
 // peer starts a gateway for others to ask and returns its address.
 func peer(t *testing.T, g *Gateway) string {
 	srv, err := wire.Listen("127.0.0.1:0", nil, logr.Discard())
@@ -97,9 +106,9 @@
 	g.contact.setPeers([]string{nowhere, nowhere})
 	g.contact.check(context.Background())
 	NewWithT(t).Expect(g.contact.cutOff()).To(BeTrue())
-	g.config.confirmed.Store(int64(clock.Now()))
+	setAnswered(g, 0)
 	g.contact.check(context.Background())
-	g.config.confirmed.Store(int64(clock.Now() - 600*time.Millisecond))
+	setAnswered(g, 600*time.Millisecond)
 	NewWithT(t).Expect(g.contact.cutOff()).To(BeFalse())
 }
 
@@ -137,3 +146,18 @@
 	NewWithT(t).Expect(err.RetryAfter).To(BeNumerically("<", 100*time.Millisecond))
 	NewWithT(t).Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
 }
+
+// Guards against requests that have waited at a restarted host for its first answer of the leader
+// and are refused when it comes: the poll was sent before the election, more than a second ago,
+// and no other host is known yet.
+func TestLateFirstAnswer(t *testing.T) {
+	g := confirmedGateway(t, time.Hour)
+	g.config.first = make(chan struct{})
+	g.targets = balance.NewSet("a")
+	g.contact.check(context.Background())
+	NewWithT(t).Expect(g.contact.cutOff()).To(BeTrue(), "no answer yet")
+	sent := clock.Now() - electionTime - pollInterval
+	g.config.accept(sent, &fleet.PollReply{})
+	NewWithT(t).Expect(g.contact.cutOff()).To(BeFalse())
+	NewWithT(t).Expect(g.config.age()).To(BeNumerically(">", electionTime), "the configuration is as old as the poll")
+}
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -40,6 +40,7 @@
 
 	current   atomic.Pointer[routing.Table]
 	confirmed atomic.Int64 // clock time at which the last confirmed poll was sent; 0: never
+	answered  atomic.Int64 // clock time at which the last poll was answered; 0: never
 	lost      bool
 	marks     uint64
 	targets   uint64
@@ -62,8 +63,13 @@
 // absent. One is often lost with a connection.
 const missedPolls = 2
 
-// leaderAbsent reports whether the leader of the document group does not answer.
-func (f *follower) leaderAbsent() bool { return f.age() > missedPolls*pollInterval }
+// leaderAbsent reports whether the leader of the document group does not answer. A poll that was
+// sent before the leader's election may be answered a second later: what counts here is the
+// answer, while the age of the configuration counts from the send.
+func (f *follower) leaderAbsent() bool {
+	at := f.answered.Load()
+	return at == 0 || clock.Now()-time.Duration(at) > missedPolls*pollInterval
+}
 
 // check fails if the configuration is not known or not confirmed recently.
 func (f *follower) check() error {
@@ -173,6 +179,7 @@
 	g.paces.adopt(reply.IdlePace)
 	f.setBlocked(reply.Blocked)
 	f.confirmed.Store(int64(sent))
+	f.answered.Store(int64(clock.Now()))
 	if f.table() != nil && f.targets != 0 {
 		f.firstOnce.Do(func() { close(f.first) })
 	}
