--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,7 +40,7 @@
 	crashes crashReports
 	usual   latencyTable
 	paces   paceTable
-	runs    runTimes
+	turns   turnTimes
 
 	poolMu sync.Mutex
 	pools  map[string]*upstream.Pool // by target
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -82,7 +82,7 @@
 	answer.Finish(err == nil)
 	x.notePace(rec)
 	if err == nil {
-		x.g.runs.note(x.route.Name, clock.Now()-sent)
+		x.g.turns.note(x.route.Name, clock.Now()-sent)
 	}
 	switch {
 	case err != nil && x.note != noteStarted:
--- a/gateway/runtime.go
+++ b/gateway/turntime.go
@@ -7,44 +7,45 @@
 	"github.com/figlb/figlb/errs"
 )
 
-// runTimes keeps the median time of whole turns by route, from the first byte sent to the
+// turnTimes keeps the median time of whole turns by route, from the first byte sent to the
 // target to the end of its stream.
-type runTimes struct {
+type turnTimes struct {
 	mu sync.Mutex
-	m  map[string]*runTime
+	m  map[string]*turnTime
 }
 
-type runTime struct {
+type turnTime struct {
 	median  time.Duration
 	samples int
 }
 
 const (
-	// runSamples is the number of turns from which the median is used.
-	runSamples = 20
-	// runStep is the part by which one turn moves the median.
-	runStep = 0.05
-	// maxRunShare bounds the median, as a part of the route's timeout: turns with their full
-	// time are served however slow the engines are.
-	maxRunShare = 4
+	// turnSamples is the number of turns from which the median is used.
+	turnSamples = 20
+	// turnStep is the part by which one turn moves the median.
+	turnStep = 0.05
+	// timeoutTurns is the number of turns that a route's timeout has room for at least: the
+	// median is taken for no more, so that turns with their full time are served however slow
+	// the engines are.
+	timeoutTurns = 4
 	// tooLateRetry is when a caller may send a turn again: at once, with its full time.
 	tooLateRetry = 10 * time.Millisecond
 )
 
 // note takes the time of a turn that has ended well into account.
-func (r *runTimes) note(route string, took time.Duration) {
+func (r *turnTimes) note(route string, took time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.m == nil {
-		r.m = map[string]*runTime{}
+		r.m = map[string]*turnTime{}
 	}
 	t := r.m[route]
 	if t == nil {
-		t = &runTime{median: took}
+		t = &turnTime{median: took}
 		r.m[route] = t
 	}
 	t.samples++
-	step := time.Duration(runStep * float64(t.median))
+	step := time.Duration(turnStep * float64(t.median))
 	if took < t.median {
 		step = -step
 	}
@@ -52,11 +53,11 @@
 }
 
 // usual returns the median of a route, 0 while it is not known.
-func (r *runTimes) usual(route string) time.Duration {
+func (r *turnTimes) usual(route string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.m[route]
-	if t == nil || t.samples < runSamples {
+	if t == nil || t.samples < turnSamples {
 		return 0
 	}
 	return t.median
@@ -70,7 +71,7 @@
 	if !x.turn() || x.req.Resumes {
 		return nil
 	}
-	need := min(x.g.runs.usual(x.route.Name), x.route.Timeout/maxRunShare)
+	need := min(x.g.turns.usual(x.route.Name), x.route.Timeout/timeoutTurns)
 	left := x.left()
 	if left >= need {
 		return nil
--- a/gateway/runtime_test.go
+++ b/gateway/turntime_test.go
@@ -42,7 +42,7 @@
 				route: &routing.Route{Name: "r", Kind: routing.Streaming, Timeout: timeout},
 			}
 			for range c.turns {
-				x.g.runs.note("r", c.usual)
+				x.g.turns.note("r", c.usual)
 			}
 			x.deadline = clock.Now() + c.left + timeoutMargin
 			err := errs.From(x.inTime())
@@ -56,8 +56,8 @@
 }
 
 // Guards against a median that follows the few longest turns, or none.
-func TestMedianOfRunTimes(t *testing.T) {
-	r := &runTimes{}
+func TestMedianOfTurns(t *testing.T) {
+	r := &turnTimes{}
 	for i := range 400 {
 		r.note("r", time.Duration(100+i%4*100)*time.Millisecond)
 	}
