--- a/gateway/balance/balance_test.go
+++ b/gateway/balance/balance_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/figlb/figlb/fleet"
@@ -183,3 +184,43 @@
 		})
 	}
 }
+
+// Guards against targets that get more programs than others because their ids, or the ids of
+// programs, are alike, and against a second choice that depends on the first alone: the load of
+// a target that fails would then go to a single other one.
+func TestSpreadOfPrograms(t *testing.T) {
+	g := NewWithT(t)
+	const (
+		targets  = 45
+		programs = 20000
+	)
+	s := NewSet("a")
+	s.Update(0, list(targets, 16))
+	firsts := map[string]int{}
+	seconds := map[string]int{} // of the programs whose first target is t0
+	for i := range programs {
+		first, second := firstTwo(xxhash.Sum64String(fmt.Sprint("program-", i)), s.byService["s"])
+		firsts[first.ID]++
+		if first.ID == "t0" {
+			seconds[second.ID]++
+		}
+	}
+	g.Expect(firsts).To(HaveLen(targets))
+	for id, n := range firsts {
+		g.Expect(n).To(BeNumerically("~", programs/targets, programs/targets/4), id)
+	}
+	g.Expect(len(seconds)).To(BeNumerically(">=", targets-5))
+	g.Expect(seconds).NotTo(HaveKey("t0"))
+}
+
+// Guards against the two ways to the order of targets that differ, so that a program loses its
+// cache each time its first targets are crowded.
+func TestFirstTwoLeadTheOrder(t *testing.T) {
+	s := NewSet("a")
+	s.Update(0, list(7, 16))
+	for key := range uint64(100) {
+		first, second := firstTwo(key, s.byService["s"])
+		order := inOrder(key, s.byService["s"])
+		NewWithT(t).Expect(order[:2]).To(Equal([]*Target{first, second}))
+	}
+}
