Polls: send what has changed, and sums of loads

Cause: at 300 hosts the busiest controller sent 51 MB/s. The list of targets counted as new after each read, twice a second, so every gateway got all of it; the requests in flight at all targets were sent with their ids five times a second; and each answer walked the maps of all gateways.

Ruled out: the ledger (its entries are a few KB a second at this size), the document (sent once for each version).

Change: versions of the list are named by a digest of their content, which is equal on all members, so a new leader does not send the list again; a host that holds one of the last 32 versions gets the difference, any other the whole list, which is encoded once. Cold times count as a change only where a target turns cold or warm or stays cold for longer. Loads are added up as polls come in and sent as one byte for each target in the order of the ids, at most 8 KB/s for each host. Members, peers, paces and blocked requests are sent when they have changed or are asked for. Hosts and crashes are searched for old ones ten times a second instead of with each poll.

--- a/cmd/figlb-store/main.go
+++ b/cmd/figlb-store/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/figlb/figlb/fleet"
@@ -22,10 +23,11 @@
 
 func run(p *process.Process) error {
 	lost := false
+	holds := fleet.Holds{Version: math.MaxUint64} // a store needs no configuration
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
 	for {
-		lost = report(p, lost)
+		lost = report(p, &holds, lost)
 		select {
 		case <-p.Stop.Done():
 			return nil
@@ -35,10 +37,10 @@
 }
 
 // report polls the controllers once and returns whether they are out of reach.
-func report(p *process.Process, lost bool) bool {
+func report(p *process.Process, holds *fleet.Holds, lost bool) bool {
 	ctx, cancel := context.WithTimeout(p.Stop, pollTimeout)
 	defer cancel()
-	reply, err := p.Client.Poll(ctx, &fleet.PollRequest{Host: p.Host.Name, Kind: fleet.KindStore, Zone: p.Host.Zone, Version: ^uint64(0)})
+	reply, err := p.Client.Poll(ctx, &fleet.PollRequest{Host: p.Host.Name, Kind: fleet.KindStore, Zone: p.Host.Zone, Holds: *holds})
 	if err != nil {
 		if !lost {
 			p.Log.Info("controllers lost", "error", err.Error())
@@ -49,5 +51,6 @@
 		p.Log.Info("controllers regained")
 	}
 	p.Client.SetMembers(reply.Members)
+	holds.Learn(reply)
 	return false
 }
--- a/controller/hosts.go
+++ b/controller/hosts.go
@@ -27,6 +27,11 @@
 	crashMemory = 2 * time.Minute
 	// maxCrashers bounds the digests that are remembered.
 	maxCrashers = 4096
+	// expireInterval is the time between two searches for hosts and crashes that are too old.
+	expireInterval = 100 * time.Millisecond
+	// loadBytesPerSecond is what a host is sent of the loads of targets. At the aim's 2,800
+	// targets that is every second poll.
+	loadBytesPerSecond = 8000
 )
 
 // hostTable is what the leader knows of the hosts that poll it. A new term starts empty.
@@ -38,6 +43,13 @@
 	since   time.Duration
 	hosts   map[string]*hostState
 	crashes map[uint64]*crasher
+	// gateways counts the hosts that are gateways.
+	gateways int
+	loads    loadTable
+	// blocked lists the digests of requests that are refused everywhere, in their order.
+	blocked       []uint64
+	blockedDigest uint64
+	expired       time.Duration
 }
 
 type hostState struct {
@@ -46,6 +58,8 @@
 	seen       time.Duration
 	inFlight   map[string]int32
 	idlePace   map[string]float64 // ms by service
+	// loadsSent is when the host was last told the loads of the targets; 0: never.
+	loadsSent time.Duration
 }
 
 type crasher struct {
@@ -60,6 +74,8 @@
 	}
 	t.term, t.since = term, now
 	t.hosts = map[string]*hostState{}
+	t.gateways = 0
+	t.loads.clear()
 	if t.crashes == nil {
 		t.crashes = map[uint64]*crasher{}
 	}
@@ -74,22 +90,40 @@
 	t.enter(term, now)
 	h := t.hosts[req.Host]
 	if h == nil {
-		h = &hostState{}
+		h = &hostState{kind: req.Kind}
 		t.hosts[req.Host] = h
+		t.count(h, 1)
 		t.log.Info("host joined", "peer", req.Host, "kind", req.Kind, "zone", req.Zone)
 	}
-	h.kind, h.zone, h.address = req.Kind, req.Zone, req.Address
-	h.seen, h.inFlight, h.idlePace = now, req.InFlight, req.IdlePace
+	h.zone, h.address, h.seen = req.Zone, req.Address, now
+	t.loads.replace(h.inFlight, req.InFlight)
+	h.inFlight = req.InFlight
+	if len(req.IdlePace) > 0 {
+		h.idlePace = req.IdlePace
+	}
 	for _, d := range req.Crashes {
 		t.crashed(d, now)
 	}
 	if req.Leaving {
-		delete(t.hosts, req.Host)
+		t.drop(req.Host, h)
 		t.log.Info("host left", "peer", req.Host)
 	}
 	t.expire(now)
 }
 
+// count adds a host to the number of gateways, or takes it off.
+func (t *hostTable) count(h *hostState, n int) {
+	if h.kind == fleet.KindGateway {
+		t.gateways += n
+	}
+}
+
+func (t *hostTable) drop(name string, h *hostState) {
+	t.loads.replace(h.inFlight, nil)
+	t.count(h, -1)
+	delete(t.hosts, name)
+}
+
 func (t *hostTable) crashed(digest uint64, now time.Duration) {
 	c := t.crashes[digest]
 	if c == nil && len(t.crashes) >= maxCrashers {
@@ -101,19 +135,45 @@
 	}
 	c.count++
 	c.last = now
+	if c.count == crashLimit {
+		t.listBlocked()
+	}
 	t.log.Info("target went down under a request", "digest", digest, "count", c.count, "blocked", c.count >= crashLimit)
 }
 
+// listBlocked lists the requests that are refused everywhere.
+func (t *hostTable) listBlocked() {
+	t.blocked = nil
+	for d, c := range t.crashes {
+		if c.count >= crashLimit {
+			t.blocked = append(t.blocked, d)
+		}
+	}
+	slices.Sort(t.blocked)
+	t.blockedDigest = 0
+	if len(t.blocked) > 0 {
+		t.blockedDigest = fleet.DigestNumbers(t.blocked)
+	}
+}
+
 func (t *hostTable) expire(now time.Duration) {
+	if now-t.expired < expireInterval {
+		return
+	}
+	t.expired = now
 	for name, h := range t.hosts {
 		if now-h.seen > hostTimeout {
-			delete(t.hosts, name)
+			t.drop(name, h)
 			t.log.Info("host lost", "peer", name, "silent_ms", (now - h.seen).Milliseconds())
 		}
 	}
 	for d, c := range t.crashes {
-		if now-c.last > crashMemory {
-			delete(t.crashes, d)
+		if now-c.last <= crashMemory {
+			continue
+		}
+		delete(t.crashes, d)
+		if c.count >= crashLimit {
+			t.listBlocked()
 		}
 	}
 }
@@ -134,29 +194,34 @@
 	return out
 }
 
-// view returns what a gateway needs to know of the others.
-func (t *hostTable) view(host string) (inFlight map[string]int32, gateways int, blocked []uint64) {
+// setTargets prepares the loads of a list of targets, which is in the order of the ids.
+func (t *hostTable) setTargets(digest uint64, targets []fleet.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	inFlight = map[string]int32{}
-	for name, h := range t.hosts {
-		if h.kind != fleet.KindGateway {
-			continue
-		}
-		gateways++
-		if name == host {
-			continue
-		}
-		for id, n := range h.inFlight {
-			inFlight[id] += n
-		}
+	if !t.loads.reset(digest, targets) {
+		return
 	}
-	for d, c := range t.crashes {
-		if c.count >= crashLimit {
-			blocked = append(blocked, d)
-		}
+	for _, h := range t.hosts {
+		t.loads.replace(nil, h.inFlight)
+	}
+}
+
+// view fills in what a gateway needs to know of the others. The loads are of the list with
+// the digest that the gateway holds once it has taken over the answer.
+func (t *hostTable) view(req *fleet.PollRequest, targets uint64, reply *fleet.PollReply) {
+	now := clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	reply.Gateways = t.gateways
+	if t.blockedDigest != req.Blocked {
+		reply.Blocked, reply.BlockedChanged = t.blocked, true
+	}
+	h := t.hosts[req.Host]
+	if h == nil || targets != t.loads.digest || now-h.loadsSent < t.loads.interval() {
+		return
 	}
-	return inFlight, gateways, blocked
+	h.loadsSent = now
+	reply.Loads = fleet.EncodeLoads(t.loads.counts)
 }
 
 // idlePace returns the least time between events of idle engines that the gateways report, by
--- a/controller/poll.go
+++ b/controller/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/figlb/figlb/fleet"
 	"github.com/figlb/figlb/routing"
@@ -17,34 +18,46 @@
 	_, term := s.opts.Node.Leader(fleet.DocumentGroup)
 	s.hosts.note(term, req)
 	state := s.opts.Document.Get()
-	reply := &fleet.PollReply{Members: s.opts.Node.Members(), Version: state.Version, Marks: state.Marks}
+	reply := &fleet.PollReply{Version: state.Version, Marks: state.Marks}
+	if members := slices.Sorted(slices.Values(s.opts.Node.Members())); fleet.DigestStrings(members) != req.Members {
+		reply.Members = members
+	}
 	if state.Version > req.Version {
 		reply.Document = state.Body
 	}
 	if state.Marks != req.Marks {
 		reply.ZonesOut = state.ZonesOut()
 	}
-	if req.Kind == fleet.KindGateway {
-		s.fillGateway(reply, req, term, &state)
+	if req.Kind != fleet.KindGateway {
+		return reply, nil
 	}
-	return reply, nil
+	return reply, s.fillGateway(reply, req, term, &state)
 }
 
-func (s *Server) fillGateway(reply *fleet.PollReply, req *fleet.PollRequest, term uint64, state *documentsm.State) {
-	reply.Targets, reply.List = s.list.since(term, req.Targets)
-	reply.InFlight, reply.Gateways, reply.Blocked = s.hosts.view(req.Host)
-	reply.Peers = s.hosts.peers(req.Host)
-	if len(req.IdlePace) == 0 {
+func (s *Server) fillGateway(reply *fleet.PollReply, req *fleet.PollRequest, term uint64, state *documentsm.State) (err error) {
+	if reply.Targets, err = s.list.since(term, req.Targets); err != nil {
+		return err
+	}
+	held := req.Targets
+	if reply.Targets != nil {
+		held = reply.Targets.Digest
+	}
+	s.hosts.view(req, held, reply)
+	if req.WantPeers {
+		reply.Peers = s.hosts.peers(req.Host)
+	}
+	if req.WantPace {
 		reply.IdlePace = s.hosts.idlePace()
 	}
 	if len(req.Want) == 0 {
-		return
+		return nil
 	}
 	table := s.table(state)
 	reply.Grants = make(map[string]fleet.Grant, len(req.Want))
 	for org, want := range req.Want {
 		reply.Grants[org] = s.rates.take(term, table, org, want)
 	}
+	return nil
 }
 
 // rate grants requests of one organisation.
--- a/controller/rates_test.go
+++ b/controller/rates_test.go
@@ -69,29 +69,37 @@
 	g.Expect(fresh.recovery(settlePeriod+time.Second, 100, 10)).To(BeNumerically(">", 0))
 }
 
-// Guards against a host that counts for ever, loads of a gateway that count for itself, and
+// Guards against a host that counts for ever, loads of a gateway that are lost or stay, and
 // a request that goes on to crash targets.
 func TestHosts(t *testing.T) {
 	g := NewWithT(t)
+	const digest = 5
 	table := hostTable{log: logr.Discard()}
+	table.setTargets(digest, []fleet.Target{{ID: "t1"}})
 	poll := func(host, kind string, load int32, crashes ...uint64) {
 		table.note(3, &fleet.PollRequest{Host: host, Kind: kind, InFlight: map[string]int32{"t1": load}, Crashes: crashes})
 	}
 	poll("g1", fleet.KindGateway, 2, 77)
 	poll("g2", fleet.KindGateway, 5, 77, 88)
 	poll("s1", fleet.KindStore, 0)
-	loads, gateways, blocked := table.view("g1")
-	g.Expect(loads).To(Equal(map[string]int32{"t1": 5}))
-	g.Expect(gateways).To(Equal(2))
-	g.Expect(blocked).To(BeEmpty())
+	view := func() *fleet.PollReply {
+		reply := &fleet.PollReply{}
+		time.Sleep(2 * table.loads.interval())
+		table.view(&fleet.PollRequest{Host: "g1"}, digest, reply)
+		return reply
+	}
+	got := view()
+	g.Expect(got.Loads).To(Equal(fleet.Loads{7}), "with its own, which the gateway knows")
+	g.Expect(got.Gateways).To(Equal(2))
+	g.Expect(got.Blocked).To(BeEmpty())
 	poll("g1", fleet.KindGateway, 2, 77)
-	_, _, blocked = table.view("g1")
-	g.Expect(blocked).To(Equal([]uint64{77}), "the third crash")
+	g.Expect(view().Blocked).To(Equal([]uint64{77}), "the third crash")
 	table.hosts["g2"].seen -= hostTimeout + time.Second
+	table.expired -= 2 * expireInterval
 	poll("g1", fleet.KindGateway, 2)
-	_, gateways, _ = table.view("g1")
-	g.Expect(gateways).To(Equal(1), "a host that is silent")
+	got = view()
+	g.Expect(got.Gateways).To(Equal(1), "a host that is silent")
+	g.Expect(got.Loads).To(Equal(fleet.Loads{2}), "nothing of a host that is silent")
 	g.Expect(table.all(4).Hosts).To(BeEmpty(), "a new term begins anew")
-	_, _, blocked = table.view("g1")
-	g.Expect(blocked).To(Equal([]uint64{77}), "crashes are kept")
+	g.Expect(view().Blocked).To(Equal([]uint64{77}), "crashes are kept")
 }
--- a/controller/targets.go
+++ b/controller/targets.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,11 +27,14 @@
 // targetList is the last list of targets that this member has read.
 type targetList struct {
 	mu      sync.Mutex
-	seq     uint64
 	read    time.Duration
 	term    uint64 // in which this member led when it read the list; 0: it did not lead
-	targets []fleet.Target
 	failing bool
+	targets []fleet.Target // in the order of their ids
+	cold    coldSpells
+	history listHistory
+	// whole is the encoded list, nil until it is asked for.
+	whole fleet.EncodedTargets
 }
 
 // Run reads the list at the start, so that a leader elected right after it has one, and
@@ -82,10 +87,25 @@
 	if l.failing {
 		s.log.Info("list of targets regained", "targets", len(targets))
 	}
-	l.failing, l.read, l.term = false, at, term
+	l.failing = false
+	targets = inOrder(targets)
 	l.logChanges(s, targets)
-	l.targets = targets
-	l.seq = uint64(at)
+	l.replace(at, term, targets)
+	s.hosts.setTargets(l.history.newest(), targets)
+}
+
+// inOrder sorts targets by id and keeps the last entry of each.
+func inOrder(targets []fleet.Target) []fleet.Target {
+	slices.Reverse(targets)
+	slices.SortStableFunc(targets, func(a, b fleet.Target) int { return strings.Compare(a.ID, b.ID) })
+	return slices.CompactFunc(targets, func(a, b fleet.Target) bool { return a.ID == b.ID })
+}
+
+// replace takes over a list that was read at a time in a term.
+func (l *targetList) replace(at time.Duration, term uint64, targets []fleet.Target) {
+	l.cold.update(at, targets)
+	l.history.add(l.targets, targets, &l.cold)
+	l.read, l.term, l.targets, l.whole = at, term, targets, nil
 }
 
 // logChanges writes a line for each target that came, left or began to drain.
@@ -106,24 +126,47 @@
 	}
 }
 
-// since returns the list if it is newer than seq, with cold times counted from now. A list
-// from before the leader's term counts while it is young, and where there is no other: the
-// gateway has none and the reads of the leader fail.
-func (l *targetList) since(term, seq uint64) (uint64, []fleet.Target) {
+// since returns what has changed since the list that a host holds; nil: nothing. A list from
+// before the leader's term counts while it is young, and where there is no other: the host
+// has none and the reads of the leader fail.
+func (l *targetList) since(term, held uint64) (*fleet.TargetChange, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.seq == 0 || l.seq == seq {
-		return seq, nil
+	digest := l.history.newest()
+	if len(l.targets) == 0 || held == digest {
+		return nil, nil
 	}
 	age := clock.Now() - l.read
-	lastResort := l.failing && seq == 0
+	lastResort := l.failing && held == 0
 	if l.term != term && age > maxInheritedAge && !lastResort {
-		return seq, nil
+		return nil, nil
+	}
+	change := &fleet.TargetChange{Digest: digest, Age: age}
+	touched, known := l.history.since(held)
+	if !known {
+		change.Whole = true
+		return change, l.encodeWhole(change)
 	}
-	out := make([]fleet.Target, len(l.targets))
-	for i, t := range l.targets {
-		t.ColdFor = max(t.ColdFor-age, 0)
-		out[i] = t
+	var changed []fleet.Target
+	for _, t := range l.targets {
+		if touched[t.ID] {
+			changed = append(changed, t)
+			delete(touched, t.ID)
+		}
+	}
+	for id := range touched {
+		change.Gone = append(change.Gone, id)
+	}
+	var err error
+	change.Changed, err = fleet.EncodeTargets(changed)
+	return change, err
+}
+
+// encodeWhole encodes the list once for all hosts that need it.
+func (l *targetList) encodeWhole(change *fleet.TargetChange) (err error) {
+	if l.whole == nil {
+		l.whole, err = fleet.EncodeTargets(l.targets)
 	}
-	return l.seq, out
+	change.Changed = l.whole
+	return err
 }
--- a/controller/targets_test.go
+++ b/controller/targets_test.go
@@ -66,26 +66,32 @@
 // Guards against a leader that gives out the list of an earlier time: targets that have left
 // since then would be used again, and their addresses may belong to others.
 func TestListOfAnEarlierTerm(t *testing.T) {
-	const seq = 7
+	const unknown = 1 // digest of a list that this member has not read
 	row := func(read time.Duration, term uint64, failing bool) *targetList {
-		return &targetList{seq: seq, read: clock.Now() - read, term: term, failing: failing, targets: []fleet.Target{{ID: "t1"}}}
+		l := &targetList{failing: failing}
+		l.replace(clock.Now()-read, term, []fleet.Target{{ID: "t1"}})
+		return l
 	}
 	for _, c := range []struct {
 		name  string
 		list  *targetList
-		known uint64
+		held  func(l *targetList) uint64
 		given bool
 	}{
-		{"own term", row(time.Hour, 2, true), 1, true},
-		{"just before the term", row(maxInheritedAge/2, 1, false), 1, true},
-		{"long before the term", row(2*maxInheritedAge, 1, false), 1, false},
-		{"long before the term, to a gateway without any", row(2*maxInheritedAge, 1, false), 0, false},
-		{"the only one there is", row(time.Hour, 1, true), 0, true},
-		{"not newer", row(0, 2, false), seq, false},
+		{"own term", row(time.Hour, 2, true), nil, true},
+		{"just before the term", row(maxInheritedAge/2, 1, false), nil, true},
+		{"long before the term", row(2*maxInheritedAge, 1, false), nil, false},
+		{"long before the term, to a gateway without any", row(2*maxInheritedAge, 1, false), func(*targetList) uint64 { return 0 }, false},
+		{"the only one there is", row(time.Hour, 1, true), func(*targetList) uint64 { return 0 }, true},
+		{"not newer", row(0, 2, false), func(l *targetList) uint64 { return l.history.newest() }, false},
 	} {
-		_, targets := c.list.since(2, c.known)
-		if given := targets != nil; given != c.given {
-			t.Errorf("%s: given %t, want %t", c.name, given, c.given)
+		held := uint64(unknown)
+		if c.held != nil {
+			held = c.held(c.list)
+		}
+		change, err := c.list.since(2, held)
+		if given := change != nil; err != nil || given != c.given {
+			t.Errorf("%s: given %t, want %t, error %v", c.name, given, c.given, err)
 		}
 	}
 }
@@ -94,10 +100,11 @@
 func TestListSurvivesAFailedRead(t *testing.T) {
 	g := NewWithT(t)
 	s := New(Options{Node: &electedNode{}, Lister: failingLister{}, Log: logr.Discard()})
-	s.list.targets, s.list.seq, s.list.term, s.list.read = []fleet.Target{{ID: "t1"}}, 7, 2, clock.Now()
+	s.list.replace(clock.Now(), 2, []fleet.Target{{ID: "t1"}})
 	s.readTargets(context.Background(), 2)
-	_, targets := s.list.since(2, 0)
-	g.Expect(targets).To(HaveLen(1))
+	change, err := s.list.since(2, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(change.Changed.Decode()).To(HaveLen(1))
 }
 
 type failingLister struct{}
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -35,11 +35,7 @@
 	Zone string `msgpack:"z"`
 	// Address is where a gateway answers other gateways; empty: nowhere.
 	Address string `msgpack:"a,omitempty"`
-	// Version, Marks and Targets tell what the host has of the document, the list of zones
-	// out of service and the list of targets.
-	Version uint64 `msgpack:"v"`
-	Marks   uint64 `msgpack:"m"`
-	Targets uint64 `msgpack:"t"`
+	Holds
 	// InFlight counts the host's requests in progress by target.
 	InFlight map[string]int32 `msgpack:"f,omitempty"`
 	// Want is the number of requests by organisation that the host wants to admit soon.
@@ -47,28 +43,58 @@
 	// Crashes names digests of requests after which a target went down, since the last poll.
 	Crashes []uint64 `msgpack:"c,omitempty"`
 	Leaving bool     `msgpack:"l,omitempty"`
-	// IdlePace is the time between events of idle engines by service, in ms; empty: the host
-	// has not measured it yet.
+	// IdlePace is the time between events of idle engines by service, in ms; empty: as reported
+	// before, or not measured yet.
 	IdlePace map[string]float64 `msgpack:"e,omitempty"`
+	// WantPace and WantPeers ask for the paces and peers of the answer.
+	WantPace  bool `msgpack:"ep,omitempty"`
+	WantPeers bool `msgpack:"op,omitempty"`
+}
+
+// Holds tells what a host has of each thing that polls bring up to date, so that nothing is
+// sent again that has not changed. Zero values: nothing yet.
+type Holds struct {
+	Version uint64 `msgpack:"v"` // of the document
+	Marks   uint64 `msgpack:"m"` // of the zones out of service
+	Targets uint64 `msgpack:"t"` // digest of the list of targets
+	Members uint64 `msgpack:"p"` // digest of the members' addresses
+	Blocked uint64 `msgpack:"b"` // digest of the blocked requests
 }
 
-// PollReply holds what has changed.
+// Learn takes over what an answer has brought. Version and Marks are left to the host, which
+// may refuse a document.
+func (h *Holds) Learn(reply *PollReply) {
+	if reply.Targets != nil {
+		h.Targets = reply.Targets.Digest
+	}
+	if len(reply.Members) > 0 {
+		h.Members = DigestStrings(reply.Members)
+	}
+	if reply.BlockedChanged {
+		h.Blocked = DigestNumbers(reply.Blocked)
+	}
+}
+
+// PollReply holds what has changed for the host that polls.
 type PollReply struct {
-	Members  []string         `msgpack:"p"`
-	Version  uint64           `msgpack:"v"`
-	Document []byte           `msgpack:"d,omitempty"`
-	Marks    uint64           `msgpack:"m"`
-	ZonesOut []string         `msgpack:"z,omitempty"`
-	Targets  uint64           `msgpack:"t"`
-	List     []Target         `msgpack:"l,omitempty"`
-	InFlight map[string]int32 `msgpack:"f,omitempty"` // of all other gateways
+	Members  []string `msgpack:"p,omitempty"` // empty: unchanged
+	Version  uint64   `msgpack:"v"`
+	Document []byte   `msgpack:"d,omitempty"`
+	Marks    uint64   `msgpack:"m"`
+	ZonesOut []string `msgpack:"z,omitempty"`
+	// Targets is what has changed of the list of targets; nil: nothing.
+	Targets *TargetChange `msgpack:"t,omitempty"`
+	// Loads holds the requests in flight from all gateways, the one that polls included, at
+	// each target in the order of the ids; empty: not told this time.
+	Loads    Loads            `msgpack:"f,omitempty"`
 	Gateways int              `msgpack:"g"`
 	Grants   map[string]Grant `msgpack:"r,omitempty"`
-	// Blocked lists digests of requests that crash their targets.
-	Blocked []uint64 `msgpack:"b,omitempty"`
-	// IdlePace is the least that the other gateways report, for one that reports none.
+	// Blocked lists digests of requests that crash their targets if BlockedChanged is set.
+	Blocked        []uint64 `msgpack:"b,omitempty"`
+	BlockedChanged bool     `msgpack:"bc,omitempty"`
+	// IdlePace is the least that the other gateways report, for one that asks.
 	IdlePace map[string]float64 `msgpack:"e,omitempty"`
-	// Peers holds addresses of a few other gateways, chosen at random.
+	// Peers holds addresses of a few other gateways, chosen at random, for one that asks.
 	Peers []string `msgpack:"o,omitempty"`
 }
 
@@ -77,17 +103,6 @@
 	InTouch bool `msgpack:"t"`
 }
 
-// Target is a process that runs requests of a service.
-type Target struct {
-	ID       string        `msgpack:"i"`
-	Service  string        `msgpack:"s"`
-	Address  string        `msgpack:"a"`
-	Zone     string        `msgpack:"z"`
-	Slots    int           `msgpack:"n"`
-	Draining bool          `msgpack:"d,omitempty"`
-	ColdFor  time.Duration `msgpack:"c,omitempty"` // from the time of the reply
-}
-
 // RateRequest asks for the admission of requests of one organisation.
 type RateRequest struct {
 	Host string  `msgpack:"h"`
--- a/gateway/balance/balance_test.go
+++ b/gateway/balance/balance_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +21,15 @@
 	return out
 }
 
+// loads returns requests in flight in the order of a set's targets.
+func loads(s *Set, inFlight map[string]int32) fleet.Loads {
+	counts := make([]int32, 0, s.Size())
+	for _, id := range slices.Sorted(maps.Keys(s.byID)) {
+		counts = append(counts, inFlight[id])
+	}
+	return fleet.EncodeLoads(counts)
+}
+
 func counts(s *Set, now time.Duration, n int, c Choice) map[string]int {
 	out := map[string]int{}
 	for range n {
@@ -56,7 +67,7 @@
 	l := list(1, 16)
 	l[0].ColdFor = 10 * time.Second
 	s.Update(0, l)
-	s.SetFleet(4, nil)
+	s.SetFleet(4, nil, nil)
 	s.SetCold(map[string]float64{"s": 40})
 	got := 0
 	for ms := range 1000 {
@@ -91,7 +102,7 @@
 		g.Expect(again.ID).To(Equal(home.ID))
 		s.Release(again)
 	}
-	s.SetFleet(2, map[string]int32{home.ID: 12})
+	g.Expect(s.SetFleet(2, nil, loads(s, map[string]int32{home.ID: 12}))).To(BeTrue())
 	other, _ := s.Acquire(0, &Choice{Service: "s", Affinity: "p1"})
 	g.Expect(other.ID).NotTo(Equal(home.ID))
 }
@@ -224,3 +235,23 @@
 		NewWithT(t).Expect(order[:2]).To(Equal([]*Target{first, second}))
 	}
 }
+
+// Guards against loads that are given to the wrong targets after the list has changed, and
+// against a gateway that counts its own requests twice.
+func TestLoadsOfAChangedList(t *testing.T) {
+	g := NewWithT(t)
+	s := NewSet("a")
+	s.Update(0, list(4, 8))
+	gone := s.Change(0, []fleet.Target{{ID: "t1x", Service: "s", Slots: 8}}, []string{"t2", "never"})
+	g.Expect(gone).To(HaveLen(1))
+	g.Expect(gone[0].ID).To(Equal("t2"))
+	g.Expect(s.SetFleet(2, nil, fleet.Loads{1, 2, 3})).To(BeFalse(), "loads of another list")
+	g.Expect(s.SetFleet(2, map[string]int32{"t1x": 2, "t3": 9}, fleet.Loads{1, 2, 3, 4})).To(BeTrue())
+	others := map[string]int32{}
+	for id, target := range s.byID {
+		others[id] = target.others
+	}
+	g.Expect(others).To(Equal(map[string]int32{"t0": 1, "t1": 2, "t1x": 1, "t3": 0}))
+	g.Expect(s.SetFleet(3, nil, nil)).To(BeTrue(), "not told this time")
+	g.Expect(s.byID["t1"].others).To(BeEquivalentTo(2))
+}
--- a/gateway/balance/burst_test.go
+++ b/gateway/balance/burst_test.go
@@ -115,16 +115,13 @@
 			continue
 		}
 		m.reported[g] = s.InFlight()
-		others := map[string]int32{}
-		for other, counts := range m.reported {
-			if other == g {
-				continue
-			}
+		all := map[string]int32{}
+		for _, counts := range m.reported {
 			for id, n := range counts {
-				others[id] += n
+				all[id] += n
 			}
 		}
-		s.SetFleet(modelGateways, others)
+		s.SetFleet(modelGateways, m.reported[g], loads(s, all))
 	}
 }
 
--- a/gateway/balance/set.go
+++ b/gateway/balance/set.go
@@ -18,6 +18,7 @@
 	mu        sync.Mutex
 	byID      map[string]*Target
 	byService map[string][]*Target
+	ordered   []*Target // by id
 	zonesOut  map[string]bool
 	gateways  int
 	cold      map[string]float64 // requests in a second that a cold target of a service tolerates
@@ -40,35 +41,64 @@
 func (s *Set) Update(now time.Duration, list []fleet.Target) (gone []*Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	seen := map[string]bool{}
+	listed := map[string]bool{}
 	for _, f := range list {
-		seen[f.ID] = true
-		t := s.byID[f.ID]
-		if t == nil {
-			t = &Target{hash: xxhash.Sum64String(f.ID)}
-			s.byID[f.ID] = t
-		}
-		t.Target = f
-		t.coldUntil = now + f.ColdFor
-		if f.ColdFor <= 0 {
-			t.coldUntil = 0
+		listed[f.ID] = true
+		s.put(now, f)
+	}
+	for id := range s.byID {
+		if !listed[id] {
+			gone = append(gone, s.drop(id))
 		}
 	}
-	for id, t := range s.byID {
-		if !seen[id] {
-			t.gone = true
-			delete(s.byID, id)
-			gone = append(gone, t)
+	s.index()
+	return gone
+}
+
+// Change adds or replaces some targets and drops others, which it returns.
+func (s *Set) Change(now time.Duration, changed []fleet.Target, dropped []string) (gone []*Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range changed {
+		s.put(now, f)
+	}
+	for _, id := range dropped {
+		if s.byID[id] != nil {
+			gone = append(gone, s.drop(id))
 		}
 	}
 	s.index()
 	return gone
 }
 
+// put adds or replaces a target. The caller holds mu.
+func (s *Set) put(now time.Duration, f fleet.Target) {
+	t := s.byID[f.ID]
+	if t == nil {
+		t = &Target{hash: xxhash.Sum64String(f.ID)}
+		s.byID[f.ID] = t
+	}
+	t.Target = f
+	t.coldUntil = now + f.ColdFor
+	if f.ColdFor <= 0 {
+		t.coldUntil = 0
+	}
+}
+
+// drop removes a target. The caller holds mu.
+func (s *Set) drop(id string) *Target {
+	t := s.byID[id]
+	t.gone = true
+	delete(s.byID, id)
+	return t
+}
+
 func (s *Set) index() {
 	s.byService = map[string][]*Target{}
+	s.ordered = s.ordered[:0]
 	for _, id := range slices.Sorted(maps.Keys(s.byID)) {
 		t := s.byID[id]
+		s.ordered = append(s.ordered, t)
 		s.byService[t.Service] = append(s.byService[t.Service], t)
 	}
 }
@@ -83,14 +113,23 @@
 	}
 }
 
-// SetFleet takes over what the other gateways have in flight.
-func (s *Set) SetFleet(gateways int, inFlight map[string]int32) {
+// SetFleet takes over the number of gateways and the requests that all of them have in flight
+// at each target, in the order of the ids; own is what this gateway has told of its own. No
+// loads leave the last ones in place. It returns false if the loads are of another list.
+func (s *Set) SetFleet(gateways int, own map[string]int32, loads fleet.Loads) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gateways = max(gateways, 1)
-	for id, t := range s.byID {
-		t.others = inFlight[id]
+	if len(loads) == 0 {
+		return true
+	}
+	if len(loads) != len(s.ordered) {
+		return false
+	}
+	for i, t := range s.ordered {
+		t.others = max(int32(loads[i])-own[t.ID], 0)
 	}
+	return true
 }
 
 // SetCold sets how many requests in a second a cold target of a service tolerates from all
--- a/gateway/contact_test.go
+++ b/gateway/contact_test.go
@@ -157,7 +157,7 @@
 	g.contact.check(context.Background())
 	NewWithT(t).Expect(g.contact.cutOff()).To(BeTrue(), "no answer yet")
 	sent := clock.Now() - electionTime - pollInterval
-	g.config.accept(sent, &fleet.PollReply{})
+	g.config.accept(sent, &fleet.PollRequest{}, &fleet.PollReply{})
 	NewWithT(t).Expect(g.contact.cutOff()).To(BeFalse())
 	NewWithT(t).Expect(g.config.age()).To(BeNumerically(">", electionTime), "the configuration is as old as the poll")
 }
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -17,6 +17,10 @@
 	// in force within 2 s, a leaving target unused within 3 s.
 	pollInterval = 200 * time.Millisecond
 	pollTimeout  = 1500 * time.Millisecond
+	// paceInterval is the time between two reports of the paces of idle engines, which change
+	// slowly, and peersInterval the age at which the addresses of peers are renewed.
+	paceInterval  = time.Second
+	peersInterval = 2 * time.Second
 	// confirmPeriod is the age of the last confirmed poll up to which requests are served.
 	// A withdrawn key has to stop working within 5 s at hosts that are cut off as well.
 	confirmPeriod = 4 * time.Second
@@ -42,9 +46,11 @@
 	confirmed atomic.Int64 // clock time at which the last confirmed poll was sent; 0: never
 	answered  atomic.Int64 // clock time at which the last poll was answered; 0: never
 	lost      bool
-	marks     uint64
-	targets   uint64
+	holds     fleet.Holds
 	blocked   atomic.Pointer[map[uint64]bool]
+	// reported is when the paces of idle engines were last told, asked when peers were last
+	// asked for; 0: never.
+	reported, asked time.Duration
 }
 
 // table returns the newest configuration, nil before the first.
@@ -117,18 +123,7 @@
 
 func (f *follower) poll(ctx context.Context) {
 	g := f.g
-	req := &fleet.PollRequest{
-		Host: g.opts.Host, Kind: fleet.KindGateway, Zone: g.opts.Zone, Address: g.opts.Address,
-		Marks: f.marks, Targets: f.targets,
-		InFlight: g.targets.InFlight(),
-		Want:     g.rates.wanted(),
-		Crashes:  g.crashes.take(),
-		Leaving:  g.stoppingFor() > leaveAfter,
-		IdlePace: g.paces.idle(),
-	}
-	if t := f.table(); t != nil {
-		req.Version = t.Version
-	}
+	req := f.request()
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	sent := clock.Now()
@@ -141,7 +136,29 @@
 		f.lost = false
 		g.log.Info("controllers regained", "age_ms", f.age().Milliseconds())
 	}
-	f.accept(sent, reply)
+	f.accept(sent, req, reply)
+}
+
+// request returns the next poll.
+func (f *follower) request() *fleet.PollRequest {
+	g := f.g
+	now := clock.Now()
+	f.holds.Version = f.version()
+	req := &fleet.PollRequest{
+		Host: g.opts.Host, Kind: fleet.KindGateway, Zone: g.opts.Zone, Address: g.opts.Address,
+		Holds:     f.holds,
+		InFlight:  g.targets.InFlight(),
+		Want:      g.rates.wanted(),
+		Crashes:   g.crashes.take(),
+		Leaving:   g.stoppingFor() > leaveAfter,
+		WantPace:  g.paces.unmeasured(),
+		WantPeers: now-f.asked >= peersInterval,
+	}
+	if now-f.reported >= paceInterval {
+		f.reported = now
+		req.IdlePace = g.paces.idle()
+	}
+	return req
 }
 
 // failed notes a poll without an answer.
@@ -153,10 +170,13 @@
 	f.lost = true
 }
 
-func (f *follower) accept(sent time.Duration, reply *fleet.PollReply) {
+func (f *follower) accept(sent time.Duration, req *fleet.PollRequest, reply *fleet.PollReply) {
 	g := f.g
 	g.opts.Client.SetMembers(reply.Members)
-	g.contact.setPeers(reply.Peers)
+	if req.WantPeers {
+		f.asked = sent
+		g.contact.setPeers(reply.Peers)
+	}
 	if len(reply.Document) > 0 && !f.install(reply) {
 		return
 	}
@@ -165,26 +185,53 @@
 		g.log.Info("poll answered with an older configuration", "version", reply.Version, "in_force", f.version())
 		return
 	}
-	if reply.Marks != f.marks {
-		f.marks = reply.Marks
+	if reply.Marks != f.holds.Marks {
+		f.holds.Marks = reply.Marks
 		g.targets.SetZonesOut(reply.ZonesOut)
 		g.log.Info("zones out of service changed", "zones", reply.ZonesOut, "marks", reply.Marks)
 	}
-	g.targets.SetFleet(reply.Gateways, reply.InFlight)
-	if reply.List != nil {
-		f.targets = reply.Targets
-		g.dropPools(g.targets.Update(clock.Now(), reply.List))
+	if err := f.changeTargets(reply.Targets); err != nil {
+		g.log.Error(err, "list of targets not understood; the one before stays in force")
+		return
+	}
+	f.holds.Learn(reply)
+	if !g.targets.SetFleet(reply.Gateways, req.InFlight, reply.Loads) {
+		g.log.Info("loads of another list of targets; asking for the whole list", "loads", len(reply.Loads), "targets", g.targets.Size())
+		f.holds.Targets = 0
 	}
 	g.rates.granted(reply.Grants)
 	g.paces.adopt(reply.IdlePace)
-	f.setBlocked(reply.Blocked)
+	if reply.BlockedChanged {
+		f.setBlocked(reply.Blocked)
+	}
 	f.confirmed.Store(int64(sent))
 	f.answered.Store(int64(clock.Now()))
-	if f.table() != nil && f.targets != 0 {
+	if f.table() != nil && g.targets.Size() > 0 {
 		f.firstOnce.Do(func() { close(f.first) })
 	}
 }
 
+// changeTargets takes over what has changed of the list of targets.
+func (f *follower) changeTargets(change *fleet.TargetChange) error {
+	if change == nil {
+		return nil
+	}
+	changed, err := change.Changed.Decode()
+	if err != nil {
+		return err
+	}
+	for i := range changed {
+		changed[i].ColdFor = max(changed[i].ColdFor-change.Age, 0)
+	}
+	g, now := f.g, clock.Now()
+	if change.Whole {
+		g.dropPools(g.targets.Update(now, changed))
+		return nil
+	}
+	g.dropPools(g.targets.Change(now, changed, change.Gone))
+	return nil
+}
+
 func (f *follower) setBlocked(digests []uint64) {
 	m := make(map[uint64]bool, len(digests))
 	for _, d := range digests {
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -130,6 +130,9 @@
 	return out
 }
 
+// unmeasured reports whether no pace has been measured here yet.
+func (t *paceTable) unmeasured() bool { return len(t.idle()) == 0 }
+
 // adopt takes over the pace of idle engines of services that are not measured here yet.
 func (t *paceTable) adopt(idle map[string]float64) {
 	if len(idle) == 0 {
