balance: turns at cold targets are spread over hundreds of gateways

Cause: each gateway kept one request for a cold target in reserve. Before 259 gateways a target that tolerates 15 requests a second got 28 and more within one second of its start when all others were full (TestColdTargetBeforeManyGateways; 74, 259 and 370 gateways failed, 6 passed). The sites of today have 6 to 74 gateways, where other targets mostly have room.

Change: a gateway's first turn comes at a random time, a turn that is not used within 300 ms is lost, and where a gateway has less than one request a second six tenths of the tolerated rate are shared out, because chance decides how many turns coincide.

Ruled out: shares by rank of the gateway, which none of them knows.

--- a/gateway/balance/choose.go
+++ b/gateway/balance/choose.go
@@ -54,7 +54,7 @@
 	if len(all) == 0 {
 		return nil, "no target is listed"
 	}
-	perSecond := s.cold[c.Service] / float64(s.gateways)
+	perSecond := coldShare(s.cold[c.Service], s.gateways)
 	var failing []*Target
 	reason = "all targets drain, are excluded or out of service"
 	for _, t := range all {
--- /dev/null
+++ b/gateway/balance/cold_test.go
@@ -0,0 +1,57 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a target in cold start that is brought down by hundreds of gateways, each of
+// which keeps one request for it in reserve. Load: all other targets are full, so that every
+// gateway wants to use a target that has just started.
+func TestColdTargetBeforeManyGateways(t *testing.T) {
+	const (
+		perSecond  = 15.0 // requests that the cold target tolerates
+		most       = 27   // in any second: half as many more, and 5
+		coldFor    = 6 * time.Second
+		start      = 20 * time.Second // the target appears this long after the gateways
+		step       = 20 * time.Millisecond
+		leastShare = 0.25 // of what the target tolerates: its share must be of use
+	)
+	for _, gateways := range []int{6, 74, 259, 370} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			g := NewWithT(t)
+			sets := make([]*Set, gateways)
+			for i := range sets {
+				s := NewSet("a")
+				s.Update(0, list(1, 6))
+				s.SetCold(map[string]float64{"s": perSecond})
+				l := list(2, 6)
+				l[1].ColdFor = coldFor
+				s.Update(start, l)
+				s.SetFleet(gateways, nil, loads(s, map[string]int32{"t0": 60}))
+				sets[i] = s
+			}
+			var sent []time.Duration
+			for at := start; at < start+coldFor; at += step {
+				for i, s := range sets {
+					target, _ := s.Acquire(at, &Choice{Service: "s", Affinity: fmt.Sprint(i, at)})
+					if target.ID == "t1" {
+						sent = append(sent, at)
+					}
+					s.Release(target)
+				}
+			}
+			window := 0
+			for i := range sent {
+				for sent[i]-sent[window] >= time.Second {
+					window++
+				}
+				g.Expect(i-window+1).To(BeNumerically("<=", most), "requests in a second")
+			}
+			g.Expect(float64(len(sent))).To(BeNumerically(">=", leastShare*perSecond*coldFor.Seconds()))
+		})
+	}
+}
--- a/gateway/balance/set.go
+++ b/gateway/balance/set.go
@@ -79,10 +79,7 @@
 		s.byID[f.ID] = t
 	}
 	t.Target = f
-	t.coldUntil = now + f.ColdFor
-	if f.ColdFor <= 0 {
-		t.coldUntil = 0
-	}
+	t.setCold(now, now+max(f.ColdFor, 0))
 }
 
 // drop removes a target. The caller holds mu.
@@ -220,7 +217,7 @@
 		t.told, t.toldAt = int32(o.Load), now
 	}
 	if o.ColdFor > 0 {
-		t.coldUntil = now + o.ColdFor
+		t.setCold(now, now+o.ColdFor)
 	}
 	switch {
 	case o.Failed:
--- a/gateway/balance/target.go
+++ b/gateway/balance/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/figlb/figlb/fleet"
@@ -31,8 +32,12 @@
 	// unsoundHalfLife is the time in which the share of failures of a target without
 	// answers halves, so that it is tried again.
 	unsoundHalfLife = 2 * time.Second
-	// coldBurst is the number of requests that a cold target gets at once from one gateway.
-	coldBurst = 1.0
+	// coldTurn is how long a gateway may use its next request to a cold target. What is not
+	// used in time is lost: kept ones of hundreds of gateways would come at once.
+	coldTurn = 300 * time.Millisecond
+	// sparseShare is the part of what a cold target tolerates that is shared out where a
+	// gateway gets less than one request a second: how many coincide is left to chance then.
+	sparseShare = 0.6
 )
 
 // Target is a target with what this gateway knows of it. The Set guards its fields.
@@ -74,11 +79,34 @@
 	return n
 }
 
-// coldToken takes one of the requests that a cold target tolerates from this gateway.
+// setCold makes the target cold until a time. The turns of the gateways are spread at random.
+func (t *Target) setCold(now, until time.Duration) {
+	if t.coldUntil <= now && until > now {
+		t.coldAt, t.coldTokens = now, rand.Float64()
+	}
+	t.coldUntil = until
+}
+
+// coldShare returns the requests a second to a cold target that are this gateway's share.
+func coldShare(tolerated float64, gateways int) float64 {
+	share := tolerated / float64(gateways)
+	if share < 1 {
+		share *= sparseShare
+	}
+	return share
+}
+
+// coldToken reports whether it is this gateway's turn to use a cold target.
 func (t *Target) coldToken(now time.Duration, perSecond float64) bool {
-	t.coldTokens = math.Min(coldBurst, t.coldTokens+perSecond*(now-t.coldAt).Seconds())
+	t.coldTokens += perSecond * (now - t.coldAt).Seconds()
 	t.coldAt = now
-	return t.coldTokens >= 1
+	turns, next := math.Modf(t.coldTokens)
+	t.coldTokens = next
+	if turns < 1 || next/perSecond > coldTurn.Seconds() {
+		return false
+	}
+	t.coldTokens++
+	return true
 }
 
 // stalled returns how long the target has answered nothing while requests wait, beyond
