gateway: bound what targets send, and pass on long answers whole

Change: heads have 64 KB, 8 interim answers and 1 s from their first byte; answers to other requests 64 KB and 1 s; so have refusals. Answers up to 256 KB are read before they are passed on, longer ones are passed on as they arrive, and the caller's connection is closed if they break off. A line of a stream has 256 KB, what is kept of a stream 1 MB.

Ruled out: chunk extensions and trailers without end, which net/http bounds itself; a time bound within streams, which would cut slow ones.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/figlb/figlb/internal/clock"
 )
 
@@ -21,13 +23,26 @@
 	has  bool   // the event has data
 }
 
-// add takes the next bytes of the stream.
-func (e *eventRecorder) add(b []byte) {
+const (
+	// maxEventBytes bounds a line of a stream, and the data of an event that is kept.
+	maxEventBytes = 256 << 10
+	// maxOutputBytes bounds what is kept of a stream: a program's whole history has half of it.
+	maxOutputBytes = 1 << 20
+)
+
+// add takes the next bytes of the stream. It fails if an event or what is kept grows too long.
+func (e *eventRecorder) add(b []byte) error {
 	for {
 		i := bytes.IndexByte(b, '\n')
+		if len(e.line)+len(e.data) > maxEventBytes {
+			return errors.Errorf("an event has more than %d bytes", maxEventBytes)
+		}
+		if len(e.output) > maxOutputBytes {
+			return errors.Errorf("the stream has more than %d bytes", maxOutputBytes)
+		}
 		if i < 0 {
 			e.line = append(e.line, b...)
-			return
+			return nil
 		}
 		e.line = append(e.line, b[:i]...)
 		e.endLine()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -128,7 +128,7 @@
 	a := x.g.opts.Adapter.DecodeAnswer(answer.StatusCode, answer.Header)
 	x.observeLoad(t, &a)
 	if a.NotRun {
-		answer.Finish(drained(answer.Response))
+		answer.Discard()
 		x.g.log.V(1).Info("target refused", "request", x.req.ID, "target", t.ID, "status", answer.StatusCode, "misdirected", a.Misdirected)
 		if a.Misdirected {
 			x.observe(t, &balance.Outcome{Failed: true, Load: -1})
@@ -160,12 +160,18 @@
 		Body:   body,
 		Once:   !x.route.Repeatable(),
 		Owns: func(h http.Header) bool {
-			id := x.g.opts.Adapter.DecodeAnswer(http.StatusOK, h).RequestID
+			id := x.answerTo(h)
 			return id == "" || id == x.req.ID
 		},
+		Anonymous: func(h http.Header) bool { return x.answerTo(h) == "" },
 	}
 }
 
+// answerTo returns the id of the request that an answer says it belongs to.
+func (x *exchange) answerTo(h http.Header) string {
+	return x.g.opts.Adapter.DecodeAnswer(http.StatusOK, h).RequestID
+}
+
 // sound fails if an answer cannot be passed on: a status that promises not to have run
 // without the target's word for it, a success that the target does not vouch for, or a
 // body that is not the target's.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -17,36 +18,54 @@
 )
 
 const (
-	// maxAnswerBytes bounds an answer that is read before it is passed on.
-	maxAnswerBytes = 16 << 20
-	// maxDrainBytes bounds the body of a refusal that is read to reuse the connection.
-	maxDrainBytes = 64 << 10
+	// maxHeldBytes is the length up to which an answer is read whole before it is passed on, so
+	// that one which breaks off can still become a failure. Longer ones are passed on as they
+	// arrive: a host with little memory holds many answers at once.
+	maxHeldBytes = 256 << 10
 	// streamBufferBytes is the size of reads from a stream: an event fits.
 	streamBufferBytes = 4 << 10
 )
 
-// drained reads the rest of a refusal and reports whether it was whole.
-func drained(resp *http.Response) bool {
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainBytes))
-	return err == nil && n < maxDrainBytes
-}
-
-// relayWhole passes on an answer once it is complete.
+// relayWhole passes on an answer once it is complete, or a long one as it arrives.
 func (x *exchange) relayWhole(t *balance.Target, sent time.Duration, answer *upstream.Answer) result {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeldBytes+1))
 	if err != nil {
 		answer.Finish(false)
 		return x.spoiled(t, err)
 	}
-	answer.Finish(true)
 	ok := answer.StatusCode < http.StatusInternalServerError
 	x.observe(t, &balance.Outcome{OK: ok, Slowness: x.slowness(sent), Load: -1})
+	if len(body) > maxHeldBytes {
+		return x.relayLong(t, answer, body)
+	}
+	answer.Finish(true)
 	x.status = answer.StatusCode
 	x.writeHead(answer.Response, strconv.Itoa(len(body)))
 	_, _ = x.w.Write(body) // a caller that has left is seen by the server
 	return result{done: true}
 }
 
+// relayLong passes on the beginning of an answer and the rest as it arrives. If that breaks off
+// the connection to the caller is closed, so that the answer does not look complete.
+func (x *exchange) relayLong(t *balance.Target, answer *upstream.Answer, begun []byte) result {
+	length := ""
+	if answer.ContentLength >= 0 {
+		length = strconv.FormatInt(answer.ContentLength, 10)
+	}
+	x.note = noteStarted
+	x.writeHead(answer.Response, length)
+	copied, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(begun), answer.Body))
+	answer.Finish(err == nil)
+	if err != nil {
+		x.observe(t, &balance.Outcome{Failed: x.r.Context().Err() == nil, Load: -1})
+		e := errs.New(errs.TargetFailed, "send the request again if it may be repeated",
+			"the answer of target %s broke off after %d bytes: %v", t.ID, copied, x.endOf(x.r.Context(), err)).WithRun(errs.Ran)
+		return result{done: true, err: e}
+	}
+	x.status, x.note = answer.StatusCode, ""
+	return result{done: true}
+}
+
 // notePace takes the time between the events of a stream into account.
 func (x *exchange) notePace(rec *eventRecorder) {
 	if rec.events < minPaceEvents {
@@ -106,7 +125,9 @@
 				x.observe(t, &balance.Outcome{OK: true, Slowness: x.slowness(sent), Load: -1})
 				x.writeHead(answer.Response, "")
 			}
-			rec.add(buf[:n])
+			if rerr := rec.add(buf[:n]); rerr != nil {
+				return rerr
+			}
 			if _, werr := x.w.Write(buf[:n]); werr != nil {
 				return werr
 			}
--- /dev/null
+++ b/gateway/upstream/bounds_test.go
@@ -0,0 +1,237 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+)
+
+// target accepts connections and serves each with its own bytes. It returns its address.
+func target(t *testing.T, serve func(c net.Conn, br *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func poolOf(addr string) *Pool { return NewPool(addr, func() int { return 4 }) }
+
+func request() *Request {
+	return &Request{Method: "GET", Path: "/", Host: "h", Header: http.Header{"Id": {"own"}},
+		Owns: func(h http.Header) bool { return h.Get("Id") == "own" }}
+}
+
+// repeat writes the same bytes until the peer closes, at most so many.
+func repeat(c net.Conn, chunk string, most int) (sent int) {
+	b := []byte(strings.Repeat(chunk, 4096/len(chunk)+1))
+	for sent < most {
+		n, err := c.Write(b)
+		sent += n
+		if err != nil {
+			break
+		}
+	}
+	return sent
+}
+
+// Guards against targets that send bytes which are no answer until the caller closes: one of
+// them took all the memory of a host, or kept a request until its deadline.
+func TestBytesWithoutEnd(t *testing.T) {
+	const (
+		deadline  = 5 * time.Second
+		soon      = 2 * time.Second
+		endless   = 64 << 20
+		mostRead  = 4 << 20 // with what the network holds
+		mostGrown = 8 << 20
+	)
+	head := "HTTP/1.1 200 OK\r\n"
+	foreign := head + "Id: other\r\n"
+	for _, c := range []struct {
+		name  string
+		serve func(c net.Conn) int
+	}{
+		{"a header line", func(c net.Conn) int { _, _ = io.WriteString(c, head+"X: "); return repeat(c, "x", endless) }},
+		{"header lines", func(c net.Conn) int { _, _ = io.WriteString(c, head); return repeat(c, "X-Y: z\r\n", endless) }},
+		{"a status line", func(c net.Conn) int { return repeat(c, "x", endless) }},
+		{"interim answers", func(c net.Conn) int { return repeat(c, "HTTP/1.1 102 Processing\r\n\r\n", endless) }},
+		{"the body of another answer", func(c net.Conn) int {
+			_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n", foreign, endless)
+			return repeat(c, "x", endless)
+		}},
+		{"chunks of another answer", func(c net.Conn) int {
+			_, _ = io.WriteString(c, foreign+"Transfer-Encoding: chunked\r\n\r\n")
+			return repeat(c, "1\r\nx\r\n", endless)
+		}},
+		{"other answers", func(c net.Conn) int { return repeat(c, foreign+"Content-Length: 0\r\n\r\n", endless) }},
+		{"a head that trickles", func(c net.Conn) int {
+			for i := range int(deadline / (50 * time.Millisecond)) {
+				if _, err := io.WriteString(c, head[i%len(head):i%len(head)+1]); err != nil {
+					break
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			return 0
+		}},
+		{"a body of another answer that trickles", func(c net.Conn) int {
+			_, _ = io.WriteString(c, foreign+"Content-Length: 1000\r\n\r\n")
+			for range int(deadline / (50 * time.Millisecond)) {
+				if _, err := io.WriteString(c, "x"); err != nil {
+					break
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			return 0
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			sent := make(chan int, 1)
+			pool := poolOf(target(t, func(conn net.Conn, br *bufio.Reader) {
+				if _, err := http.ReadRequest(br); err != nil {
+					return
+				}
+				sent <- c.serve(conn)
+			}))
+			ctx, cancel := context.WithTimeout(context.Background(), deadline)
+			defer cancel()
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			began := time.Now()
+			_, err := pool.Do(ctx, request())
+			took := time.Since(began)
+			runtime.ReadMemStats(&after)
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(errorsIsNotSent(err)).To(BeFalse(), "it may have run")
+			g.Expect(took).To(BeNumerically("<", soon))
+			g.Expect(int64(after.TotalAlloc)-int64(before.TotalAlloc)).To(BeNumerically("<", mostGrown), "bytes allocated")
+			g.Eventually(sent, soon).Should(Receive(BeNumerically("<", mostRead)), "the connection is closed")
+			g.Expect(pool.Idle()).To(BeZero())
+		})
+	}
+}
+
+// Guards against a sound answer that is cut because it is slow to begin, follows interim
+// answers, has a large header or comes after a late answer to an earlier request.
+func TestUnusualSoundAnswers(t *testing.T) {
+	own := "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n"
+	for _, c := range []struct{ name, before, answer string }{
+		{"after interim answers", "", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + own + "\r\nok"},
+		{"with a large header", "", own + "X: " + strings.Repeat("x", 30<<10) + "\r\n\r\nok"},
+		{"after another answer", "", "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3000\r\n\r\n" + strings.Repeat("o", 3000) + own + "\r\nok"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			pool := poolOf(target(t, func(conn net.Conn, br *bufio.Reader) {
+				for {
+					if _, err := http.ReadRequest(br); err != nil {
+						return
+					}
+					time.Sleep(1200 * time.Millisecond)
+					_, _ = io.WriteString(conn, c.answer)
+				}
+			}))
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			for range 2 {
+				answer, err := pool.Do(ctx, request())
+				g.Expect(err).NotTo(HaveOccurred())
+				body, err := io.ReadAll(answer.Body)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(string(body)).To(Equal("ok"))
+				answer.Finish(true)
+			}
+			g.Expect(pool.Dialed.Load()).To(BeEquivalentTo(1), "the connection is used again")
+		})
+	}
+}
+
+// Guards against a late second copy of an answer, without the id of its request, that the next
+// caller on the connection gets as its own.
+func TestAnswerWithoutIDOnAUsedConnection(t *testing.T) {
+	g := NewWithT(t)
+	copied := "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold"
+	first := true
+	pool := poolOf(target(t, func(conn net.Conn, br *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			if first {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 3\r\n\r\none")
+			} else {
+				_, _ = io.WriteString(conn, copied)
+			}
+			first = false
+		}
+	}))
+	req := request()
+	req.Owns = nil
+	req.Anonymous = func(h http.Header) bool { return h.Get("Id") == "" }
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	answer, err := pool.Do(ctx, req)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, _ = io.Copy(io.Discard, answer.Body)
+	answer.Finish(true)
+	_, err = pool.Do(ctx, req)
+	g.Expect(err).To(HaveOccurred(), "whose answer it is cannot be told")
+	g.Expect(errorsIsNotSent(err)).To(BeFalse())
+}
+
+// FuzzReadAnswer looks for answers that make the reader panic, hang or take more than it may.
+func FuzzReadAnswer(f *testing.F) {
+	for _, s := range []string{
+		"HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nId: own\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "rubbish", "\r\n\r\n", "HTTP/1.1 999\r\n\r\n",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		defer func() { _ = near.Close() }()
+		go func() {
+			_, _ = io.Copy(far, bytes.NewReader(data))
+			_ = far.Close()
+		}()
+		c := newConn(near)
+		resp, err := c.readAnswer(request())
+		if err != nil {
+			return
+		}
+		if resp.Header.Get("Id") != "own" {
+			t.Fatalf("an answer to another request: %v", resp.Header)
+		}
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20))
+	})
+}
+
+func errorsIsNotSent(err error) bool { return errors.Is(err, ErrNotSent) }
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -18,8 +19,16 @@
 const (
 	readBufferBytes = 8 << 10
 	// maxForeignAnswers is the number of answers to earlier requests that are skipped
-	// before a connection is given up.
+	// before a connection is given up, maxForeignBytes bounds the body of each.
 	maxForeignAnswers = 2
+	maxForeignBytes   = 64 << 10
+	// maxInterimAnswers is the number of 1xx answers before the final one.
+	maxInterimAnswers = 8
+	// maxHeadBytes bounds the head of an answer, as large as callers' own heads may be.
+	maxHeadBytes = 64 << 10
+	// partTimeout bounds the time in which a head, once begun, or the body of an answer to
+	// another request arrives. Targets send both in one piece.
+	partTimeout = time.Second
 	// defaultIdle is how long a connection is reused where the target states no timeout.
 	defaultIdle = 4 * time.Second
 	// idleMargin is the time by which a connection is dropped before its stated timeout.
@@ -42,13 +51,17 @@
 	// Once tells that the request may run once only. On a new connection it is sent after a
 	// moment in which a target with too many connections resets it.
 	Once bool
-	// Owns reports whether an answer's header belongs to this request.
+	// Owns reports whether an answer's header belongs to this request; nil: all do.
 	Owns func(http.Header) bool
+	// Anonymous reports whether an answer's header does not tell to which request it belongs;
+	// nil: all tell. On a used connection such an answer may be a late one.
+	Anonymous func(http.Header) bool
 }
 
 // conn is one connection to a target. It carries one request at a time.
 type conn struct {
 	net.Conn
+	in        *boundedReader
 	br        *bufio.Reader
 	idleUntil time.Duration
 	used      bool
@@ -63,7 +76,12 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
-	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	return newConn(c), nil
+}
+
+func newConn(c net.Conn) *conn {
+	in := &boundedReader{r: c, left: math.MaxInt64}
+	return &conn{Conn: c, in: in, br: bufio.NewReaderSize(in, readBufferBytes)}
 }
 
 // quiet reports whether an idle connection is open and holds no unexpected bytes.
@@ -110,16 +128,23 @@
 	return err
 }
 
-// readAnswer reads the head of the answer that belongs to the request.
+// readAnswer reads the head of the answer that belongs to the request. It fails if the target
+// sends anything else without end.
 func (c *conn) readAnswer(req *Request) (*http.Response, error) {
-	for foreign := 0; ; {
-		resp, err := http.ReadResponse(c.br, &http.Request{Method: req.Method})
+	for foreign, interim := 0, 0; ; {
+		resp, err := c.readHead(req.Method)
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			if interim++; interim > maxInterimAnswers {
+				return nil, errors.Errorf("the target sent %d interim answers", interim)
+			}
 			continue
 		}
+		if c.used && req.Anonymous != nil && req.Anonymous(resp.Header) {
+			return nil, errors.New("an answer without a request id on a used connection")
+		}
 		if req.Owns == nil || req.Owns(resp.Header) {
 			return resp, nil
 		}
@@ -127,12 +152,61 @@
 		if foreign > maxForeignAnswers || resp.Close {
 			return nil, errors.New("the connection holds answers to other requests")
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := c.skipBody(resp); err != nil {
 			return nil, err
 		}
 	}
 }
 
+// readHead reads the head of the next answer. The time to its first byte is bounded by the
+// request alone.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	if _, err := c.br.Peek(1); err != nil {
+		return nil, err
+	}
+	defer c.bound(maxHeadBytes)()
+	return http.ReadResponse(c.br, &http.Request{Method: method})
+}
+
+// skipBody reads the body of an answer that nobody needs.
+func (c *conn) skipBody(resp *http.Response) error {
+	defer c.bound(maxForeignBytes)()
+	_, err := io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// bound limits the bytes and the time of the reads that follow, until the function that it
+// returns is called.
+func (c *conn) bound(most int64) (end func()) {
+	c.in.left = most
+	_ = c.SetReadDeadline(time.Now().Add(partTimeout)) // fails on a closed connection, as the read does
+	return func() {
+		c.in.left = math.MaxInt64
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+// boundedReader fails once so many bytes have been read.
+type boundedReader struct {
+	r    io.Reader
+	left int64
+}
+
+var errTooMuch = errors.New("the target sends more than an answer may have")
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errTooMuch
+	}
+	if int64(len(p)) > b.left {
+		p = p[:b.left]
+	}
+	n, err := b.r.Read(p)
+	b.left -= int64(n)
+	return n, err
+}
+
 // reusable returns how long the connection may wait for its next request; 0: not at all.
 func reusable(resp *http.Response) time.Duration {
 	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -137,6 +137,13 @@
 	a.pool.put(a.conn, idle)
 }
 
+// Discard ends the exchange without its body. The connection is used again if the rest of
+// the body is short and arrives soon.
+func (a *Answer) Discard() {
+	err := a.conn.skipBody(a.Response)
+	a.Finish(err == nil)
+}
+
 // Do sends a request and returns the head of its answer. An error caused by ErrNotSent
 // proves that the target has not seen the request; after any other it may have run. When
 // ctx ends the connection is closed.
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,4 +5,6 @@
 cd "$(dirname "$0")/.."
 # The end-to-end tests measure times of several processes and run apart from the others.
 go test -race -timeout 8m $(go list ./... | grep -v /test/e2e)
+# Bytes of targets that are no answer: the corpus of past findings, and some new ones.
+go test ./gateway/upstream -run "^$" -fuzz FuzzReadAnswer -fuzztime 5s
 go tool ginkgo -procs=4 --no-color --timeout 8m ./test/e2e
