gateway: leave targets that say they leave

Change: the mark is the gateway's own belief, set when the header is read, for all kinds of answers. It ends when the list has the id with another start (born) or address; such a target is a new one, with new connections and nothing known. Before, a target that started anew under its id kept the beliefs and the connections of the one before.

Weighed: telling other gateways through the polls. The list shows a leaving target within about a second, each gateway hears the mark with its own first answer, and a wrong mark would cost all of them.

--- a/fleet/targets.go
+++ b/fleet/targets.go
@@ -15,6 +15,7 @@
 	Address  string        `msgpack:"a"`
 	Zone     string        `msgpack:"z"`
 	Slots    int           `msgpack:"n"`
+	Born     int64         `msgpack:"b,omitempty"` // start, in Unix ms; tells restarts under one id apart
 	Draining bool          `msgpack:"d,omitempty"`
 	ColdFor  time.Duration `msgpack:"c,omitempty"` // from the read of the list
 }
--- a/gateway/adapter.go
+++ b/gateway/adapter.go
@@ -62,6 +62,8 @@
 	Running, Waiting int
 	// ColdFor is how long the target stays cold; 0: not told.
 	ColdFor time.Duration
+	// Leaving tells that the target is about to stop.
+	Leaving bool
 	// Misdirected tells that another target has the address.
 	Misdirected bool
 }
--- a/gateway/balance/choose.go
+++ b/gateway/balance/choose.go
@@ -58,7 +58,7 @@
 	var failing []*Target
 	reason = "all targets drain, are excluded or out of service"
 	for _, t := range all {
-		if t.Draining || s.zonesOut[t.Zone] || slices.Contains(c.Exclude, t.ID) {
+		if !s.usable(t) || slices.Contains(c.Exclude, t.ID) {
 			continue
 		}
 		if t.coldUntil > now && perSecond > 0 && !t.coldToken(now, perSecond) {
--- a/gateway/balance/set.go
+++ b/gateway/balance/set.go
@@ -44,7 +44,7 @@
 	listed := map[string]bool{}
 	for _, f := range list {
 		listed[f.ID] = true
-		s.put(now, f)
+		gone = append(gone, s.put(now, f)...)
 	}
 	for id := range s.byID {
 		if !listed[id] {
@@ -60,7 +60,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, f := range changed {
-		s.put(now, f)
+		gone = append(gone, s.put(now, f)...)
 	}
 	for _, id := range dropped {
 		if s.byID[id] != nil {
@@ -71,21 +71,26 @@
 	return gone
 }
 
-// put adds or replaces a target. The caller holds mu.
-func (s *Set) put(now time.Duration, f fleet.Target) {
+// put adds or replaces a target. One that has started anew under its id or has another address
+// is another target; put returns the one before, if any. The caller holds mu.
+func (s *Set) put(now time.Duration, f fleet.Target) (gone []*Target) {
 	t := s.byID[f.ID]
+	if t != nil && (t.Born != f.Born || t.Address != f.Address) {
+		gone = append(gone, s.drop(f.ID))
+		t = nil
+	}
 	if t == nil {
 		t = &Target{hash: xxhash.Sum64String(f.ID)}
 		s.byID[f.ID] = t
 	}
 	t.Target = f
 	t.setCold(now, now+max(f.ColdFor, 0))
+	return gone
 }
 
 // drop removes a target. The caller holds mu.
 func (s *Set) drop(id string) *Target {
 	t := s.byID[id]
-	t.gone = true
 	delete(s.byID, id)
 	return t
 }
@@ -129,6 +134,11 @@
 	return true
 }
 
+// usable reports whether a target may get new requests at all. The caller holds mu.
+func (s *Set) usable(t *Target) bool {
+	return !t.Draining && !t.leaving && !s.zonesOut[t.Zone]
+}
+
 // SetCold sets how many requests in a second a cold target of a service tolerates from all
 // gateways together; 0: no limit.
 func (s *Set) SetCold(limits map[string]float64) {
@@ -157,6 +167,18 @@
 	return out
 }
 
+// Leave leaves out a target that has said that it is about to stop, whatever the list says, until
+// it is listed with another start. It returns false if that is known. The mark is this
+// gateway's own: it holds without the controllers, and a wrong one costs the target's share of
+// this gateway's requests until the target or the gateway starts anew.
+func (s *Set) Leave(t *Target) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := t.leaving
+	t.leaving = true
+	return !known
+}
+
 // Size returns the number of targets.
 func (s *Set) Size() int {
 	s.mu.Lock()
@@ -171,7 +193,7 @@
 	defer s.mu.Unlock()
 	load, slots := 0.0, 0.0
 	for _, t := range s.byService[service] {
-		if t.Draining || s.zonesOut[t.Zone] || t.ejectUntil > now {
+		if !s.usable(t) || t.ejectUntil > now {
 			continue
 		}
 		load += t.load(now)
--- a/gateway/balance/target.go
+++ b/gateway/balance/target.go
@@ -45,7 +45,7 @@
 	fleet.Target
 	hash      uint64 // of the id
 	coldUntil time.Duration
-	gone      bool
+	leaving   bool // has said that it is about to stop
 
 	inFlight int32 // of this gateway
 	others   int32 // of all other gateways
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -127,6 +127,9 @@
 	}
 	a := x.g.opts.Adapter.DecodeAnswer(answer.StatusCode, answer.Header)
 	x.observeLoad(t, &a)
+	if a.Leaving && x.g.targets.Leave(t) {
+		x.g.log.Info("target leaves", "target", t.ID, "service", t.Service, "request", x.req.ID)
+	}
 	if a.NotRun {
 		answer.Discard()
 		x.g.log.V(1).Info("target refused", "request", x.req.ID, "target", t.ID, "status", answer.StatusCode, "misdirected", a.Misdirected)
