gateway: programs under way are told from new ones before they are refused

A gateway that had not seen the organisation did not ask the ledger whether the program was under way, learned from the leader's answer that the rate was nearly used up, and refused the request as a new program's. With 259 gateways nearly every request meets such a gateway. The other way round, new programs were admitted there as long as a token was left, and a token granted for a program that was then refused stayed at the gateway.

Ruled out: reserves (none below 3 requests a second at a gateway), the change of the rate at 1.5 s (one organisation, 187 of the programs, beyond its new rate).

Change: requests of which it is not known whether their program is under way are asked for apart (Fresh) and granted only while the rate can bear new programs; when it cannot, the ledger is asked, and those under way wait as they would elsewhere. Decisions on waiting are in functions of their own.

--- a/controller/poll.go
+++ b/controller/poll.go
@@ -55,7 +55,7 @@
 	table := s.table(state)
 	reply.Grants = make(map[string]fleet.Grant, len(req.Want))
 	for org, want := range req.Want {
-		reply.Grants[org] = s.rates.take(term, table, org, want)
+		reply.Grants[org] = s.rates.take(term, table, org, want, 0)
 	}
 	return nil
 }
@@ -67,7 +67,7 @@
 	}
 	_, term := s.opts.Node.Leader(fleet.DocumentGroup)
 	state := s.opts.Document.Get()
-	g := s.rates.take(term, s.table(&state), req.Org, req.Want)
+	g := s.rates.take(term, s.table(&state), req.Org, req.Want, req.Fresh)
 	return &g, nil
 }
 
--- a/controller/rates.go
+++ b/controller/rates.go
@@ -47,9 +47,9 @@
 	since  time.Duration
 }
 
-// take grants up to want requests of an organisation. An organisation without a rate gets
-// all it wants.
-func (t *rateTable) take(term uint64, table *routing.Table, org string, want float64) fleet.Grant {
+// take grants up to want requests of an organisation, and up to fresh more while the rate can
+// bear new programs. An organisation without a rate gets all it wants.
+func (t *rateTable) take(term uint64, table *routing.Table, org string, want, fresh float64) fleet.Grant {
 	if table == nil {
 		return fleet.Grant{Wait: unknownRetry}
 	}
@@ -58,7 +58,7 @@
 		return fleet.Grant{Wait: unknownRetry}
 	}
 	if o.Rate <= 0 {
-		return fleet.Grant{Tokens: want}
+		return fleet.Grant{Tokens: want + fresh}
 	}
 	now := clock.Now()
 	t.mu.Lock()
@@ -74,6 +74,9 @@
 	}
 	b.tokens = math.Min(capacity, b.tokens+o.Rate*(now-b.at).Seconds())
 	b.at = now
+	if b.recovery(now, capacity, o.Rate) == 0 {
+		want += fresh
+	}
 	got := math.Floor(math.Min(want, b.tokens))
 	b.tokens -= got
 	g := fleet.Grant{Tokens: got, Recover: b.recovery(now, capacity, o.Rate)}
--- a/controller/rates_test.go
+++ b/controller/rates_test.go
@@ -29,11 +29,11 @@
 	granted := 0.0
 	began := time.Now()
 	for time.Since(began) < 400*time.Millisecond {
-		granted += rates.take(1, table, "acme", 1000).Tokens
+		granted += rates.take(1, table, "acme", 1000, 0).Tokens
 	}
 	var next rateTable // the new leader knows nothing of the grants before
 	for time.Since(began) < 800*time.Millisecond {
-		granted += next.take(2, table, "acme", 1000).Tokens
+		granted += next.take(2, table, "acme", 1000, 0).Tokens
 	}
 	limit := burst*startShare + rate*time.Since(began).Seconds() + burst*startShare
 	g.Expect(granted).To(BeNumerically("<=", limit+2))
@@ -45,8 +45,8 @@
 func TestRatesOfOthers(t *testing.T) {
 	g := NewWithT(t)
 	var rates rateTable
-	g.Expect(rates.take(1, tableWith(0, 0), "acme", 50).Tokens).To(BeEquivalentTo(50))
-	for _, grant := range []fleet.Grant{rates.take(1, tableWith(9, 9), "nobody", 5), rates.take(1, nil, "acme", 5)} {
+	g.Expect(rates.take(1, tableWith(0, 0), "acme", 50, 0).Tokens).To(BeEquivalentTo(50))
+	for _, grant := range []fleet.Grant{rates.take(1, tableWith(9, 9), "nobody", 5, 0), rates.take(1, nil, "acme", 5, 0)} {
 		g.Expect(grant.Tokens).To(BeZero())
 		g.Expect(grant.Wait).To(BeNumerically(">", 0))
 	}
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -108,6 +108,9 @@
 	Host string  `msgpack:"h"`
 	Org  string  `msgpack:"o"`
 	Want float64 `msgpack:"w"`
+	// Fresh is the number of requests besides that may be of new programs. They are granted
+	// only while the rate can bear new programs.
+	Fresh float64 `msgpack:"f,omitempty"`
 }
 
 // Grant is a number of requests that a host may admit.
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -59,7 +59,9 @@
 	tokens  float64
 	taken   float64 // since the last poll
 	demand  float64 // mean for each poll interval
-	waiting float64 // requests that wait for a token
+	// waiting counts requests of programs under way, or of none, that wait for a token, fresh
+	// those of programs of which that is not known.
+	waiting, fresh float64
 	// granted counts the tokens used since the last poll that was answered, pace is their mean
 	// for each poll interval, and credit counts the requests admitted without one since then.
 	granted, pace, credit float64
@@ -92,43 +94,73 @@
 	if org.Rate <= 0 {
 		return nil
 	}
-	a.mu.Lock()
-	scarce := a.of(org.Name).scarce
-	a.mu.Unlock()
-	began := clock.Now()
-	known := a.underWay(ctx, org.Name, program, scarce)
+	q := &applicant{org: org.Name, program: program, began: clock.Now(), left: left}
+	q.known = program == "" || a.programs.has(key(org.Name, program))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	al := a.of(org.Name)
 	al.taken++
-	if al.scarce && !known {
-		return rateLimited(org.Name, al.recover-clock.Now())
-	}
-	for al.tokens < 1 {
-		if !known && al.scarce {
-			return rateLimited(org.Name, al.recover-clock.Now())
+	for {
+		if al.scarce && !q.known {
+			if err := a.findOut(ctx, q, al); err != nil {
+				return err
+			}
 		}
-		if known && program != "" && a.onCredit(org.Name, al) {
-			return nil
+		if al.tokens >= 1 {
+			break
 		}
-		if a.g.contact.cutOff() {
-			return hostCutOff()
+		if q.known && program != "" && a.onCredit(org.Name, al) {
+			return nil
 		}
-		absent := a.g.config.leaderAbsent()
-		rest := began + patience(left, absent) - clock.Now()
-		if rest <= 0 || ctx.Err() != nil {
-			return notGranted(org.Name, al, absent)
+		if err := a.await(ctx, q, al); err != nil {
+			return err
 		}
-		a.await(ctx, min(rest, pollInterval), org.Name, al)
 	}
 	al.tokens--
 	al.granted++
-	if !known {
+	if !q.known {
 		a.programs.add(key(org.Name, program))
 	}
 	return nil
 }
 
+// applicant is a request that asks for admission.
+type applicant struct {
+	org, program string
+	began        time.Duration
+	left         time.Duration // of the request's time when it began to ask
+	// known tells that the request's program is under way, or that it has none.
+	known bool
+}
+
+// findOut asks the ledger whether a request belongs to a program under way, and fails if it does
+// not: the rate is nearly used up. The caller holds mu, which is free meanwhile.
+func (a *admission) findOut(ctx context.Context, q *applicant, al *allowance) error {
+	a.mu.Unlock()
+	known := a.underWay(ctx, q.org, q.program)
+	a.mu.Lock()
+	q.known = known
+	if !known {
+		return rateLimited(q.org, al.recover-clock.Now())
+	}
+	return nil
+}
+
+// await waits for the next grant. It fails once the request has waited for long enough. The
+// caller holds mu, which is free meanwhile.
+func (a *admission) await(ctx context.Context, q *applicant, al *allowance) error {
+	if a.g.contact.cutOff() {
+		return hostCutOff()
+	}
+	absent := a.g.config.leaderAbsent()
+	rest := q.began + patience(q.left, absent) - clock.Now()
+	if rest <= 0 || ctx.Err() != nil {
+		return notGranted(q.org, al, absent)
+	}
+	a.awaitGrant(ctx, min(rest, pollInterval), q, al)
+	return nil
+}
+
 // patience is how long a request with some time left waits for an admission.
 func patience(left time.Duration, leaderAbsent bool) time.Duration {
 	if leaderAbsent {
@@ -153,16 +185,13 @@
 	return errs.New(errs.Unavailable, "retry at another host", "this host is cut off from the controllers").WithRetryAfter(cutOffRetry)
 }
 
-// underWay reports whether a request belongs to a program that has begun. Requests of one
-// program reach several gateways, so the ledger is asked where it matters. A request
-// without a program competes with those of programs under way.
-func (a *admission) underWay(ctx context.Context, org, program string, matters bool) bool {
+// underWay reports whether a program has begun. Requests of one program reach several gateways,
+// so the ledger is asked where this gateway does not know it. A request without a program
+// competes with those of programs under way.
+func (a *admission) underWay(ctx context.Context, org, program string) bool {
 	if program == "" || a.programs.has(key(org, program)) {
 		return true
 	}
-	if !matters {
-		return false
-	}
 	ctx, cancel := context.WithTimeout(ctx, rateTimeout)
 	defer cancel()
 	begun, err := a.g.opts.Client.Begun(ctx, &fleet.ProgramRequest{Org: org, Program: program})
@@ -178,15 +207,19 @@
 
 func key(org, program string) string { return org + "\x00" + program }
 
-// await waits for the next grant, at most for a time. The caller holds mu, which is free
+// awaitGrant waits for the next grant, at most for a time. The caller holds mu, which is free
 // meanwhile.
-func (a *admission) await(ctx context.Context, atMost time.Duration, org string, al *allowance) {
+func (a *admission) awaitGrant(ctx context.Context, atMost time.Duration, q *applicant, al *allowance) {
+	waiting := &al.waiting
+	if !q.known {
+		waiting = &al.fresh
+	}
+	*waiting++
 	if al.asking == nil {
 		al.asking = make(chan struct{})
-		go a.ask(org, al, al.asking)
+		go a.ask(q.org, al, al.asking)
 	}
 	asking := al.asking
-	al.waiting++
 	a.mu.Unlock()
 	t := time.NewTimer(atMost)
 	defer t.Stop()
@@ -196,7 +229,7 @@
 	case <-t.C:
 	}
 	a.mu.Lock()
-	al.waiting--
+	*waiting--
 }
 
 func rateLimited(org string, wait time.Duration) error {
@@ -215,9 +248,9 @@
 	ctx, cancel := context.WithTimeout(a.g.ctx, rateTimeout)
 	defer cancel()
 	a.mu.Lock()
-	want := math.Max(al.want(), 1)
+	req := &fleet.RateRequest{Host: a.g.opts.Host, Org: org, Want: al.want(), Fresh: al.fresh}
 	a.mu.Unlock()
-	grant, err := a.g.opts.Client.Rate(ctx, &fleet.RateRequest{Host: a.g.opts.Host, Org: org, Want: want})
+	grant, err := a.g.opts.Client.Rate(ctx, req)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	al.asking = nil
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -57,7 +57,7 @@
 // underWay reports whether the request's program has begun, which the ledger knows where
 // this gateway does not.
 func (x *exchange) underWay(ctx context.Context) bool {
-	return x.g.rates.underWay(ctx, x.org, x.req.Program, true)
+	return x.g.rates.underWay(ctx, x.org, x.req.Program)
 }
 
 // paceTable keeps the time between events of streams by service.
