soak: targets in trouble and targets that say they leave

One target after another sends a head or a body without end, a late copy of an answer without its id, or bytes of a stream now and then, or says that it leaves while the list has it as ready. New check (DRAIN): a gateway that has passed the word on must not use the target 3 s later, unless it was disturbed since.

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -25,6 +25,7 @@
 	rep.Turns = w.checkTurns(attempts)
 	w.checkBudgets(attempts)
 	w.checkRates(byID)
+	w.checkLeaving(attempts)
 	rep.Broken = w.faults
 }
 
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -31,10 +30,14 @@
 	if !h.busy.CompareAndSwap(false, true) {
 		return nil
 	}
+	h.disturbed.Store(time.Now().UnixNano())
 	return h
 }
 
-func (h *host) free() { h.busy.Store(false) }
+func (h *host) free() {
+	h.disturbed.Store(time.Now().UnixNano())
+	h.busy.Store(false)
+}
 
 // killed kills the process of a host until the end of the fault.
 func (s *site) killed(kind string, wipe bool) func() {
@@ -118,7 +121,8 @@
 	{"reload a process", func(s *site) func() { s.pick("gateway").proc.Signal(syscall.SIGHUP); return nil }},
 	{"kill all controllers", func(s *site) func() { return s.allKilled() }},
 	{"replace a target", func(s *site) func() {
-		t := s.targets[s.rng.Intn(len(s.targets))]
+		all := s.allTargets()
+		t := all[s.rng.Intn(len(all))]
 		if t.Drained() {
 			return nil
 		}
@@ -137,7 +141,7 @@
 // spoil makes all targets do something to one request in seven.
 func (s *site) spoil(fault standin.Fault) (end func()) {
 	var n atomic.Int64
-	targets := slices.Clone(s.targets) // the end runs beside faults that add targets
+	targets := s.allTargets() // the end runs beside faults that add targets
 	for _, t := range targets {
 		t.SetFault(func() standin.Fault {
 			if n.Add(1)%7 == 0 {
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -82,6 +82,7 @@
 	}
 	wg.Go(func() { w.operate(ctx) })
 	wg.Go(func() { w.probe(ctx) })
+	wg.Go(func() { s.trouble(ctx, rand.New(rand.NewSource(^opts.Seed))) })
 	s.inject(time.Now().Add(opts.Length), func(f string) { rep.Faults = append(rep.Faults, f) })
 	w.checkRecovery()
 	cancel()
--- a/test/soak/site.go
+++ b/test/soak/site.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,8 @@
 	// busy marks a process that a fault has stopped or is stopping: a second one would
 	// start it twice.
 	busy atomic.Bool
+	// disturbed is when a fault last stopped the process or let it go on, in Unix ns.
+	disturbed atomic.Int64
 }
 
 func (h *host) address(port int) string { return net.JoinHostPort(h.bind, fmt.Sprint(port)) }
@@ -51,9 +54,11 @@
 	listSrv  *http.Server
 	listAddr string
 	log      standin.Log
-	targets  []*standin.Target
 	rng      *rand.Rand
-	born     int
+
+	mu      sync.Mutex
+	targets []*standin.Target
+	born    int
 }
 
 func newSite(bin, dir string, seed int64, rng *rand.Rand) (*site, error) {
@@ -121,6 +126,8 @@
 }
 
 func (s *site) addTarget(service string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.born++
 	t := &standin.Target{ID: fmt.Sprint(service, "-", s.born), Service: service, Zone: fmt.Sprint("z", s.born%3),
 		Slots: 16, Log: &s.log, Stream: service == "lm"}
@@ -132,6 +139,13 @@
 	return nil
 }
 
+// allTargets returns the targets that have been started.
+func (s *site) allTargets() []*standin.Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.targets)
+}
+
 func (s *site) seeds() []string {
 	var out []string
 	for i := range 3 {
@@ -201,7 +215,7 @@
 			h.relay.Close()
 		}
 	}
-	for _, t := range s.targets {
+	for _, t := range s.allTargets() {
 		t.Close()
 	}
 	_ = s.claim.Close()
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -32,6 +32,7 @@
 	org    string
 	kind   string
 	result standin.Result
+	host   *host // the gateway
 	// history is what the target has to receive before the body; turns only.
 	history string
 }
@@ -74,6 +75,7 @@
 
 // do sends an attempt to a gateway and records it.
 func (w *world) do(c *standin.Caller, h *host, a attempt) standin.Result {
+	a.host = h
 	a.result = c.Do(context.Background(), h.address(standin.FrontPort), &a.call)
 	w.mu.Lock()
 	defer w.mu.Unlock()
