gateway: requests at a host that wakes wait for its first poll

The leader answers the first poll within milliseconds.

Change: while the configuration looks unconfirmed because no poll has been tried since, requests wait for the first one, 300 ms and two fifths of their time at most; once a poll has failed they are refused at once as before. What is served is confirmed by a poll that was sent after the host had woken.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -106,6 +106,7 @@
 		return errs.New(errs.Draining, "retry at another host", "the host is stopping").WithRetryAfter(time.Millisecond)
 	}
 	x.g.config.awaitFirst(x.r.Context(), req.Deadline)
+	x.g.config.awaitWake(x.r.Context(), req.Deadline)
 	if err := x.g.config.check(); err != nil {
 		return err
 	}
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -45,6 +45,7 @@
 	current   atomic.Pointer[routing.Table]
 	confirmed atomic.Int64 // clock time at which the last confirmed poll was sent; 0: never
 	answered  atomic.Int64 // clock time at which the last poll was answered; 0: never
+	tried     atomic.Int64 // clock time at which the last poll that has ended was sent; 0: none
 	lost      bool
 	holds     fleet.Holds
 	blocked   atomic.Pointer[map[uint64]bool]
@@ -108,6 +109,34 @@
 	}
 }
 
+const (
+	// wakeWait is how long requests wait for the first poll of a host that has stood still, and
+	// wakeCheck the time between two looks.
+	wakeWait  = 300 * time.Millisecond
+	wakeCheck = 5 * time.Millisecond
+)
+
+// awaitWake waits for the first poll after the host has stood still: the configuration looks
+// unconfirmed then, and the leader answers within milliseconds. Load that it answers: requests that
+// have waited at a frozen host, of which some callers still wait.
+func (f *follower) awaitWake(ctx context.Context, deadline time.Duration) {
+	wait := wakeWait
+	if deadline > 0 {
+		wait = min(wait, deadline*startShare/10)
+	}
+	for until := clock.Now() + wait; f.stoodStill() && ctx.Err() == nil && clock.Now() < until; {
+		time.Sleep(wakeCheck)
+	}
+}
+
+// stoodStill reports whether the configuration is unconfirmed because no poll has been tried.
+func (f *follower) stoodStill() bool {
+	if f.table() == nil || f.age() <= confirmPeriod {
+		return false
+	}
+	return clock.Now()-time.Duration(f.tried.Load()) > pollTimeout+2*pollInterval
+}
+
 func (f *follower) run(ctx context.Context) {
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
@@ -128,6 +157,7 @@
 	defer cancel()
 	sent := clock.Now()
 	reply, err := g.opts.Client.Poll(ctx, req)
+	f.tried.Store(int64(sent))
 	if err != nil {
 		f.failed(err)
 		return
@@ -148,6 +178,7 @@
 		Host: g.opts.Host, Kind: fleet.KindGateway, Zone: g.opts.Zone, Address: g.opts.Address,
 		Holds:     f.holds,
 		InFlight:  g.targets.InFlight(),
+		Outcomes:  g.targets.TakeOutcomes(),
 		Want:      g.rates.wanted(),
 		Crashes:   g.crashes.take(),
 		Leaving:   g.stoppingFor() > leaveAfter,
@@ -199,6 +230,7 @@
 		g.log.Info("loads of another list of targets; asking for the whole list", "loads", len(reply.Loads), "targets", g.targets.Size())
 		f.holds.Targets = 0
 	}
+	g.targets.SetUnsound(reply.Unsound)
 	g.rates.granted(reply.Grants)
 	g.paces.adopt(reply.IdlePace)
 	if reply.BlockedChanged {
