controller, gateway: failures of targets are shared within an availability zone

Each of 259 gateways had to find out by failing calls of its own, and none sees a target often.

Change: gateways tell with each poll how requests at targets have ended; the leader adds up by zone of the gateways, with a half-life of 2 s, and tells each zone which targets fail a tenth or more. A target's own errors count too, without leaving it out.

Ruled out: one share for the whole site (a zone that is cut off would take sound targets away from all).

--- a/controller/hosts.go
+++ b/controller/hosts.go
@@ -46,6 +46,7 @@
 	// gateways counts the hosts that are gateways.
 	gateways int
 	loads    loadTable
+	sound    soundnessTable
 	// blocked lists the digests of requests that are refused everywhere, in their order.
 	blocked       []uint64
 	blockedDigest uint64
@@ -98,6 +99,7 @@
 	h.zone, h.address, h.seen = req.Zone, req.Address, now
 	t.loads.replace(h.inFlight, req.InFlight)
 	h.inFlight = req.InFlight
+	t.sound.add(now, req.Zone, req.Outcomes)
 	if len(req.IdlePace) > 0 {
 		h.idlePace = req.IdlePace
 	}
@@ -201,6 +203,7 @@
 	if !t.loads.reset(digest, targets) {
 		return
 	}
+	t.sound.keep(t.loads.index)
 	for _, h := range t.hosts {
 		t.loads.replace(nil, h.inFlight)
 	}
@@ -213,6 +216,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	reply.Gateways = t.gateways
+	reply.Unsound = t.sound.unsound(now, req.Zone)
 	if t.blockedDigest != req.Blocked {
 		reply.Blocked, reply.BlockedChanged = t.blocked, true
 	}
--- a/controller/server.go
+++ b/controller/server.go
@@ -61,7 +61,7 @@
 // New returns a server. Register adds its methods, Run its background work.
 func New(opts Options) *Server {
 	s := &Server{opts: opts, log: opts.Log}
-	s.hosts.log = opts.Log
+	s.hosts.log, s.hosts.sound.log = opts.Log, opts.Log
 	return s
 }
 
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -38,6 +38,8 @@
 	Holds
 	// InFlight counts the host's requests in progress by target.
 	InFlight map[string]int32 `msgpack:"f,omitempty"`
+	// Outcomes counts the requests that have ended since the last poll, by target.
+	Outcomes map[string]Outcomes `msgpack:"u,omitempty"`
 	// Want is the number of requests by organisation that the host wants to admit soon.
 	Want map[string]float64 `msgpack:"w,omitempty"`
 	// Crashes names digests of requests after which a target went down, since the last poll.
@@ -86,9 +88,12 @@
 	Targets *TargetChange `msgpack:"t,omitempty"`
 	// Loads holds the requests in flight from all gateways, the one that polls included, at
 	// each target in the order of the ids; empty: not told this time.
-	Loads    Loads            `msgpack:"f,omitempty"`
-	Gateways int              `msgpack:"g"`
-	Grants   map[string]Grant `msgpack:"r,omitempty"`
+	Loads    Loads `msgpack:"f,omitempty"`
+	Gateways int   `msgpack:"g"`
+	// Unsound is the share of requests, in percent, that failed at targets for the gateways of
+	// the same availability zone; targets that fail few are left out.
+	Unsound map[string]uint8 `msgpack:"u,omitempty"`
+	Grants  map[string]Grant `msgpack:"r,omitempty"`
 	// Blocked lists digests of requests that crash their targets if BlockedChanged is set.
 	Blocked        []uint64 `msgpack:"b,omitempty"`
 	BlockedChanged bool     `msgpack:"bc,omitempty"`
--- a/fleet/targets.go
+++ b/fleet/targets.go
@@ -65,3 +65,9 @@
 	}
 	return out
 }
+
+// Outcomes counts requests at a target by how they ended.
+type Outcomes struct {
+	OK     uint16 `msgpack:"o,omitempty"`
+	Failed uint16 `msgpack:"f,omitempty"`
+}
--- a/gateway/balance/balance_test.go
+++ b/gateway/balance/balance_test.go
@@ -255,3 +255,19 @@
 	g.Expect(s.SetFleet(3, nil, nil)).To(BeTrue(), "not told this time")
 	g.Expect(s.byID["t1"].others).To(BeEquivalentTo(2))
 }
+
+// Guards against a target that answers most requests with errors of its own and keeps its share,
+// and against one that is left out for errors that may be the requests'.
+func TestErroringTarget(t *testing.T) {
+	g := NewWithT(t)
+	s := NewSet("z")
+	s.Update(0, list(4, 8))
+	for range 6 {
+		for id, target := range s.byID {
+			left := s.Observe(0, target, &Outcome{OK: id != "t0", Errored: id == "t0", Load: -1})
+			g.Expect(left).To(BeFalse())
+		}
+	}
+	g.Expect(counts(s, 100*time.Millisecond, 16, Choice{Service: "s"})["t0"]).To(BeZero())
+	g.Expect(counts(s, 0, 1, Choice{Service: "s", Exclude: []string{"t1", "t2", "t3"}})["t0"]).To(Equal(1))
+}
--- a/gateway/balance/set.go
+++ b/gateway/balance/set.go
@@ -179,6 +179,29 @@
 	return !known
 }
 
+// TakeOutcomes returns how requests have ended since the last call, by target.
+func (s *Set) TakeOutcomes() map[string]fleet.Outcomes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]fleet.Outcomes{}
+	for id, t := range s.byID {
+		if t.ended.OK > 0 || t.ended.Failed > 0 {
+			out[id] = t.ended
+			t.ended = fleet.Outcomes{}
+		}
+	}
+	return out
+}
+
+// SetUnsound takes over the share of failures at all gateways of the zone, in percent by target.
+func (s *Set) SetUnsound(percent map[string]uint8) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, t := range s.byID {
+		t.unsoundFleet = float64(percent[id]) / 100
+	}
+}
+
 // Size returns the number of targets.
 func (s *Set) Size() int {
 	s.mu.Lock()
@@ -223,6 +246,9 @@
 type Outcome struct {
 	OK     bool
 	Failed bool // the target answered wrongly or not at all
+	// Errored tells that the target answered soundly that it has failed. The request may be the
+	// reason, so the target is used less and not left out.
+	Errored bool
 	// Slowness is the latency as a multiple of what is usual for such requests; 0: unknown.
 	Slowness float64
 	// Load is the number of requests that the target told to have; negative: it told none.
@@ -244,6 +270,8 @@
 	switch {
 	case o.Failed:
 		return t.failed(now)
+	case o.Errored:
+		t.noteSoundness(now, 1)
 	case o.OK:
 		t.succeeded(now, o.Slowness)
 	}
--- a/gateway/balance/target.go
+++ b/gateway/balance/target.go
@@ -60,6 +60,11 @@
 	unsound   float64
 	unsoundAt time.Duration
 
+	// ended counts the outcomes since they were last told to the leader, and unsoundFleet is the
+	// share of failures at all gateways of the zone, as the leader told last.
+	ended        fleet.Outcomes
+	unsoundFleet float64
+
 	failures   int
 	eject      time.Duration
 	ejectUntil time.Duration
@@ -124,13 +129,23 @@
 	t.progress = now
 }
 
-// unsoundNow returns the share of failures, which fades while there are no answers.
+// unsoundNow returns the share of failures seen here, which fades while there are no answers, or
+// at all gateways of the zone if that is higher.
 func (t *Target) unsoundNow(now time.Duration) float64 {
+	return max(t.unsoundHere(now), t.unsoundFleet)
+}
+
+func (t *Target) unsoundHere(now time.Duration) float64 {
 	return t.unsound * math.Exp2(-float64(now-t.unsoundAt)/float64(unsoundHalfLife))
 }
 
 func (t *Target) noteSoundness(now time.Duration, failure float64) {
-	current := t.unsoundNow(now)
+	if failure > 0 {
+		t.ended.Failed++
+	} else {
+		t.ended.OK++
+	}
+	current := t.unsoundHere(now)
 	t.unsound = current + unsoundShare*(failure-current)
 	t.unsoundAt = now
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -34,7 +34,7 @@
 		return x.spoiled(t, err)
 	}
 	ok := answer.StatusCode < http.StatusInternalServerError
-	x.observe(t, &balance.Outcome{OK: ok, Slowness: x.slowness(sent), Load: -1})
+	x.observe(t, &balance.Outcome{OK: ok, Errored: !ok, Slowness: x.slowness(sent), Load: -1})
 	if len(body) > maxHeldBytes {
 		return x.relayLong(t, answer, body)
 	}
