internal/periodic: one loop for jobs at intervals

Two functions take their place, one that begins at once and one that waits for the first period; loops that listen to more than a context stay. No behaviour changes; tests of replica, stateclient, stateserver, dispatch and gateway pass.

--- a/cmd/figlb-controller/main.go
+++ b/cmd/figlb-controller/main.go
@@ -13,6 +13,7 @@
 	"github.com/figlb/figlb/controller"
 	"github.com/figlb/figlb/fleet"
 	"github.com/figlb/figlb/internal/httpserver"
+	"github.com/figlb/figlb/internal/periodic"
 	"github.com/figlb/figlb/internal/process"
 	"github.com/figlb/figlb/operator"
 	"github.com/figlb/figlb/platform"
@@ -119,16 +120,10 @@
 
 // followMembers keeps the addresses up to date at which the own client looks for leaders.
 func followMembers(ctx context.Context, p *process.Process, r *replica.Replica) {
-	t := time.NewTicker(time.Second)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			p.Client.SetMembers(r.Members())
-		}
-	}
+	periodic.RunLater(ctx, time.Second, func(context.Context) bool {
+		p.Client.SetMembers(r.Members())
+		return true
+	})
 }
 
 func ready(r *replica.Replica) error {
--- a/cmd/figlb-store/main.go
+++ b/cmd/figlb-store/main.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/figlb/figlb/fleet"
+	"github.com/figlb/figlb/internal/periodic"
 	"github.com/figlb/figlb/internal/process"
 	"github.com/figlb/figlb/platform"
 )
@@ -24,16 +25,11 @@
 func run(p *process.Process) error {
 	lost := false
 	holds := fleet.Holds{Version: math.MaxUint64} // a store needs no configuration
-	t := time.NewTicker(pollInterval)
-	defer t.Stop()
-	for {
+	periodic.Run(p.Stop, pollInterval, func(context.Context) bool {
 		lost = report(p, &holds, lost)
-		select {
-		case <-p.Stop.Done():
-			return nil
-		case <-t.C:
-		}
-	}
+		return true
+	})
+	return nil
 }
 
 // report polls the controllers once and returns whether they are out of reach.
--- a/dispatch/schedclient/pool.go
+++ b/dispatch/schedclient/pool.go
@@ -9,6 +9,7 @@
 
 	"github.com/figlb/figlb/dispatch"
 	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/internal/periodic"
 	"github.com/figlb/figlb/structs"
 )
 
@@ -165,19 +166,12 @@
 
 // reportLoop reports the slots in use while the pool is used.
 func (p *pool) reportLoop(ctx context.Context) {
-	tick := time.NewTicker(reportInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
-		if p.idle() {
-			continue
+	periodic.RunLater(ctx, reportInterval, func(ctx context.Context) bool {
+		if !p.idle() {
+			p.tryReport(ctx)
 		}
-		p.tryReport(ctx)
-	}
+		return true
+	})
 }
 
 func (p *pool) idle() bool {
--- a/dispatch/topology/follower.go
+++ b/dispatch/topology/follower.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/figlb/figlb/dispatch"
+	"github.com/figlb/figlb/internal/periodic"
 	"github.com/figlb/figlb/structs"
 )
 
@@ -89,16 +90,7 @@
 }
 
 func (f *Follower) run(ctx context.Context) {
-	tick := time.NewTicker(pollInterval)
-	defer tick.Stop()
-	for {
-		f.poll(ctx)
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
-	}
+	periodic.Run(ctx, pollInterval, periodic.Always(f.poll))
 }
 
 func (f *Follower) poll(ctx context.Context) {
--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -7,6 +7,7 @@
 
 	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/fleet"
+	"github.com/figlb/figlb/internal/periodic"
 	"github.com/figlb/figlb/wire"
 )
 
@@ -105,16 +106,7 @@
 
 // run looks for the leader, directly and through the peers, as long as it is absent.
 func (c *contact) run(ctx context.Context) {
-	t := time.NewTicker(pollInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		c.check(ctx)
-	}
+	periodic.RunLater(ctx, pollInterval, periodic.Always(c.check))
 }
 
 func (c *contact) check(ctx context.Context) {
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -9,6 +9,7 @@
 	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/fleet"
 	"github.com/figlb/figlb/internal/clock"
+	"github.com/figlb/figlb/internal/periodic"
 	"github.com/figlb/figlb/routing"
 )
 
@@ -138,16 +139,7 @@
 }
 
 func (f *follower) run(ctx context.Context) {
-	t := time.NewTicker(pollInterval)
-	defer t.Stop()
-	for {
-		f.poll(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+	periodic.Run(ctx, pollInterval, periodic.Always(f.poll))
 }
 
 func (f *follower) poll(ctx context.Context) {
--- a/replica/bootstrap.go
+++ b/replica/bootstrap.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/figlb/figlb/internal/periodic"
 	"github.com/figlb/figlb/raft"
 	"github.com/figlb/figlb/snapshot"
 	"github.com/figlb/figlb/wal"
@@ -19,24 +20,18 @@
 // member in each majority of the configured members, so a majority without a cluster is
 // asked for: a member that lost its disk and is cut off must not create a second cluster.
 func (r *Replica) bootstrap(ctx context.Context) {
-	t := time.NewTicker(bootstrapInterval)
-	defer t.Stop()
-	for {
+	periodic.Run(ctx, bootstrapInterval, func(ctx context.Context) bool {
 		without, exists := r.askClusters(ctx)
 		if exists || r.clusterID() != 0 {
 			r.log.Info("a cluster exists: joining it instead of creating one")
-			return
+			return false
 		}
 		if without > len(r.cfg.Members)/2 {
 			r.createCluster()
-			return
+			return false
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+		return true
+	})
 }
 
 // askClusters counts the members, this one included, that belong to no cluster.
--- a/replica/hello.go
+++ b/replica/hello.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/internal/periodic"
 	"github.com/figlb/figlb/raft"
 )
 
@@ -78,19 +79,10 @@
 
 // probe asks a member for its identity at intervals, which also tests the connection.
 func (r *Replica) probe(ctx context.Context, p *peer) {
-	t := time.NewTicker(r.cfg.HelloInterval)
-	defer t.Stop()
-	for {
+	periodic.Run(ctx, r.cfg.HelloInterval, func(ctx context.Context) bool {
 		r.callHello(ctx, p, false)
-		if r.forget(p) {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
+		return !r.forget(p)
+	})
 }
 
 func (r *Replica) callHello(ctx context.Context, p *peer, verify bool) (helloReply, bool) {
--- a/replica/verify.go
+++ b/replica/verify.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/figlb/figlb/internal/periodic"
 	"github.com/figlb/figlb/raft"
 )
 
@@ -132,18 +133,12 @@
 // freeSegments makes groups with little traffic take a snapshot where their entries are all
 // that keeps the oldest segment of the log.
 func (inc *incarnation) freeSegments(ctx context.Context) {
-	t := time.NewTicker(time.Second)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	periodic.RunLater(ctx, time.Second, func(context.Context) bool {
 		for _, id := range inc.wal.Blocking() {
 			if g := inc.groups[id]; g != nil {
 				g.applier.wantSnapshot()
 			}
 		}
-	}
+		return true
+	})
 }
--- a/stateclient/probe.go
+++ b/stateclient/probe.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/internal/periodic"
 )
 
 const (
@@ -57,19 +58,13 @@
 
 // probe pings a member until it fails to answer or nobody waits for it.
 func (c *Client) probe(ctx context.Context, addr string, p *probe) {
-	t := time.NewTicker(probePeriod)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
+	periodic.RunLater(ctx, probePeriod, func(ctx context.Context) bool {
+		if c.ping(ctx, addr) || ctx.Err() != nil {
+			return true
 		}
-		if !c.ping(ctx, addr) && ctx.Err() == nil {
-			c.probeFailed(addr, p)
-			return
-		}
-	}
+		c.probeFailed(addr, p)
+		return false
+	})
 }
 
 // ping reports whether a member answers, with whatever.
--- a/stateserver/jobs.go
+++ b/stateserver/jobs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/internal/periodic"
 	"github.com/figlb/figlb/stateclient"
 	"github.com/figlb/figlb/structs"
 )
@@ -24,7 +25,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	start := func(period time.Duration, job func(context.Context)) {
-		wg.Go(func() { every(ctx, period, job) })
+		wg.Go(func() { periodic.Run(ctx, period, periodic.Always(job)) })
 	}
 	start(min(expiryPeriod, max(s.ProgramIdle/2, time.Second)), s.expireAll)
 	start(fingerprintPeriod, s.liftExpired)
@@ -33,20 +34,6 @@
 	start(membershipTick, func(context.Context) { s.entries.tick() })
 }
 
-// every calls job at once and then in each period.
-func every(ctx context.Context, period time.Duration, job func(context.Context)) {
-	t := time.NewTicker(period)
-	defer t.Stop()
-	for {
-		job(ctx)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // expireAll proposes an expiry in each organisation group that this member leads.
 func (s *Server) expireAll(ctx context.Context) {
 	for group, sm := range s.Machines.Orgs {
