--- a/controller/hosts.go
+++ b/controller/hosts.go
@@ -203,7 +203,7 @@
 	if !t.loads.reset(digest, targets) {
 		return
 	}
-	t.sound.keep(t.loads.index)
+	t.sound.keep(targets)
 	for _, h := range t.hosts {
 		t.loads.replace(nil, h.inFlight)
 	}
--- a/gateway/balance/choose.go
+++ b/gateway/balance/choose.go
@@ -17,6 +17,8 @@
 	Affinity string
 	// Exclude names targets that have refused the request or failed.
 	Exclude []string
+	// Once tells that the request may not be repeated, so that a failure loses it.
+	Once bool
 	// Connected reports whether a connection to a target is idle; nil: not known.
 	Connected func(id string) bool
 }
@@ -34,7 +36,7 @@
 	if c.Affinity != "" {
 		t = s.byAffinity(now, c.Affinity, fit)
 	} else {
-		t = s.leastLoaded(now, fit, c.Connected)
+		t = s.leastLoaded(now, fit, c)
 	}
 	if t.coldUntil > now {
 		t.coldTokens--
@@ -109,6 +111,9 @@
 	// that answers none for the stall time: both outweigh a full queue.
 	unsoundCost = 5.0
 	stallCost   = 3.0
+	// onceCost is added to unsoundCost for requests that may not be repeated: a lost answer
+	// loses their program.
+	onceCost = 10.0
 	// affinityGain is what a target that holds a request's prompt saves: reading the prompt
 	// anew takes about a quarter of a turn.
 	affinityGain = 0.25
@@ -183,7 +188,7 @@
 }
 
 // leastLoaded takes the target with the least pressure, one in the own zone among equals.
-func (s *Set) leastLoaded(now time.Duration, fit []*Target, connected func(id string) bool) *Target {
+func (s *Set) leastLoaded(now time.Duration, fit []*Target, choice *Choice) *Target {
 	var best *Target
 	bestCost := math.Inf(1)
 	// Equal targets are taken in a random order: gateways that know the same would
@@ -195,9 +200,12 @@
 		if t.Zone == s.zone {
 			c -= zoneGain
 		}
-		if connected != nil && connected(t.ID) {
+		if choice.Connected != nil && choice.Connected(t.ID) {
 			c -= connectedGain
 		}
+		if choice.Once {
+			c += t.unsoundNow(now) * onceCost
+		}
 		if c < bestCost || c == bestCost && t.inFlight < best.inFlight {
 			best, bestCost = t, c
 		}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -36,7 +36,7 @@
 // forward offers the request to targets until one has run it, and relays the answer.
 func (x *exchange) forward(ctx context.Context) error {
 	defer x.release()
-	choice := balance.Choice{Service: x.service(), Connected: x.g.connected}
+	choice := balance.Choice{Service: x.service(), Connected: x.g.connected, Once: !x.route.Repeatable()}
 	if x.route.Sticky || x.route.Kind == routing.Streaming {
 		choice.Affinity = x.affinity()
 	}
