gateway: peers are asked for with each poll until there are enough

Since polls carry only what has changed, peers came every 2 s; a gateway that polled first after the start knew fewer than two others for that time and took itself for one that nobody answers.

Change: peers are asked for with each poll while fewer than two are known.

--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -175,7 +175,7 @@
 		Crashes:   g.crashes.take(),
 		Leaving:   g.stoppingFor() > leaveAfter,
 		WantPace:  g.paces.unmeasured(),
-		WantPeers: now-f.asked >= peersInterval,
+		WantPeers: now-f.asked >= peersInterval || len(g.contact.known()) < minPeers,
 	}
 	if now-f.reported >= paceInterval {
 		f.reported = now
--- a/gateway/follower_test.go
+++ b/gateway/follower_test.go
@@ -54,3 +54,21 @@
 		})
 	}
 }
+
+// Guards against a gateway that knows no other gateways for two seconds after its start, because
+// it was the first to poll: cut off in that time, it would refuse what others could relay.
+func TestPeersAreAskedForUntilThereAreEnough(t *testing.T) {
+	g := NewWithT(t)
+	gw := confirmedGateway(t, 0)
+	gw.targets = balance.NewSet("a")
+	asks := func() bool { return gw.config.request().WantPeers }
+	answer := func(peers ...string) {
+		gw.config.accept(clock.Now(), &fleet.PollRequest{WantPeers: true}, &fleet.PollReply{Peers: peers})
+	}
+	answer("g2:1")
+	g.Expect(asks()).To(BeTrue(), "one is too few")
+	answer("g2:1", "g3:1")
+	g.Expect(asks()).To(BeFalse())
+	gw.config.asked -= peersInterval
+	g.Expect(asks()).To(BeTrue(), "they are old")
+}
