--- a/controller/hosts.go
+++ b/controller/hosts.go
@@ -152,10 +152,7 @@
 		}
 	}
 	slices.Sort(t.blocked)
-	t.blockedDigest = 0
-	if len(t.blocked) > 0 {
-		t.blockedDigest = fleet.DigestNumbers(t.blocked)
-	}
+	t.blockedDigest = fleet.DigestNumbers(t.blocked)
 }
 
 func (t *hostTable) expire(now time.Duration) {
--- a/fleet/digest.go
+++ b/fleet/digest.go
@@ -16,8 +16,11 @@
 	return nonZero(h.Sum64())
 }
 
-// DigestNumbers returns a digest of numbers in their order, which is not 0.
+// DigestNumbers returns a digest of numbers in their order; 0: there are none.
 func DigestNumbers(numbers []uint64) uint64 {
+	if len(numbers) == 0 {
+		return 0
+	}
 	h := xxhash.New()
 	var b [8]byte
 	for _, n := range numbers {
