--- a/gateway/adapter.go
+++ b/gateway/adapter.go
@@ -51,6 +51,15 @@
 	Priority int // 0 is the most urgent
 }
 
+// RequestLimit is what a response says about the requests that its target takes from all hosts
+// together.
+type RequestLimit struct {
+	Named     bool    // the response names a limit
+	PerSecond float64 // at least 0; valid if Named
+	// Malformed holds the value of a limit that is not a number of at least 0; empty otherwise.
+	Malformed string
+}
+
 // TargetResponse holds the decoded status and header of a target's response.
 type TargetResponse struct {
 	RequestID string
@@ -67,6 +76,7 @@
 	ColdFor time.Duration
 	// Leaving is set if the target is about to stop.
 	Leaving bool
+	Limit   RequestLimit
 	// Misdirected is set if the address now belongs to another target.
 	Misdirected bool
 }
--- a/gateway/balance/target.go
+++ b/gateway/balance/target.go
@@ -51,6 +51,10 @@
 	coldUntil time.Duration
 	leaving   bool // the target has announced that it is about to stop
 
+	// limited is set while the target names a request limit, and limitPerSecond is that limit.
+	limited        bool
+	limitPerSecond float64
+
 	inFlight      int32 // requests of this gateway
 	otherInFlight int32 // requests of all other gateways
 	reportedLoad  int32 // running and queued requests, as last reported by the target
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -124,6 +124,7 @@
 		x.g.targets.RecordResponse(clock.Now(), t)
 		return sendResult{err: err, notRun: true}
 	}
+	x.countLimitedSend(t)
 	sent := clock.Now()
 	resp, err := x.g.pool(t).Do(ctx, x.targetRequest(t))
 	x.g.targets.RecordResponse(clock.Now(), t)
@@ -132,6 +133,7 @@
 	}
 	a := x.g.opts.Adapter.DecodeResponse(resp.StatusCode, resp.Header)
 	x.observeLoad(t, &a)
+	x.logLimit(t, &a)
 	if a.Leaving && x.g.targets.MarkLeaving(t) {
 		x.g.log.Info("target leaves", "target", t.ID, "service", t.Service, "request", x.req.ID)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -14,9 +14,12 @@
 	requests     metrics.Counter
 	served       metrics.Counter
 	pollFailures metrics.Counter
-	relayed      metrics.Counter   // calls of other gateways relayed to the controllers
-	onCredit     metrics.Counter   // requests admitted without a token
-	latency      metrics.Histogram // in microseconds
+	relayed      metrics.Counter // calls of other gateways relayed to the controllers
+	onCredit     metrics.Counter // requests admitted without a token
+	// limitedFirst and limitedRepeated count the requests sent to targets that name a request
+	// limit: those sent for the first time, and those sent again after another target.
+	limitedFirst, limitedRepeated metrics.Counter
+	latency                       metrics.Histogram // in microseconds
 	// logSecond is the current second of the clock, and logLines counts the log lines of served
 	// requests in it.
 	logSecond atomic.Int64
@@ -34,13 +37,15 @@
 
 func newMetrics(r metrics.Registry) *gatewayMetrics {
 	return &gatewayMetrics{
-		registry:     r,
-		requests:     metrics.GetOrRegisterCounter("gateway.requests", r),
-		served:       metrics.GetOrRegisterCounter("gateway.served", r),
-		pollFailures: metrics.GetOrRegisterCounter("gateway.poll_failures", r),
-		relayed:      metrics.GetOrRegisterCounter("gateway.relayed", r),
-		onCredit:     metrics.GetOrRegisterCounter("gateway.admitted_on_credit", r),
-		latency:      metrics.GetOrRegisterHistogram("gateway.latency_us", r, metrics.NewExpDecaySample(latencySamples, latencyDecay)),
+		registry:        r,
+		requests:        metrics.GetOrRegisterCounter("gateway.requests", r),
+		served:          metrics.GetOrRegisterCounter("gateway.served", r),
+		pollFailures:    metrics.GetOrRegisterCounter("gateway.poll_failures", r),
+		relayed:         metrics.GetOrRegisterCounter("gateway.relayed", r),
+		onCredit:        metrics.GetOrRegisterCounter("gateway.admitted_on_credit", r),
+		limitedFirst:    metrics.GetOrRegisterCounter("gateway.limited_sends.first", r),
+		limitedRepeated: metrics.GetOrRegisterCounter("gateway.limited_sends.repeated", r),
+		latency:         metrics.GetOrRegisterHistogram("gateway.latency_us", r, metrics.NewExpDecaySample(latencySamples, latencyDecay)),
 	}
 }
 
