--- a/controller/hosts.go
+++ b/controller/hosts.go
@@ -235,6 +235,17 @@
 	reply.Loads = fleet.EncodeLoads(t.loads.counts)
 }
 
+// targetIndex returns the positions of the listed targets, or nil if the list with the given
+// digest is not the present one. Callers must not modify the result.
+func (t *hostTable) targetIndex(listDigest uint64) map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if listDigest != t.loads.digest {
+		return nil
+	}
+	return t.loads.index
+}
+
 // minIdleEventInterval returns, by service, the shortest time between events of idle engines that
 // any gateway has reported, in ms.
 func (t *hostTable) minIdleEventInterval() map[string]float64 {
--- a/controller/poll.go
+++ b/controller/poll.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/figlb/figlb/fleet"
+	"github.com/figlb/figlb/internal/clock"
 	"github.com/figlb/figlb/routing"
 	"github.com/figlb/figlb/statemachine/documentsm"
 )
@@ -17,6 +18,7 @@
 	}
 	_, term := s.opts.Node.Leader(fleet.DocumentGroup)
 	s.hosts.recordPoll(term, req)
+	s.limits.report(clock.Now(), term, req.Host, req.Limits)
 	state := s.opts.Document.Get()
 	reply := &fleet.PollReply{Version: state.Version, ZoneRevision: state.ZoneRevision}
 	if members := slices.Sorted(slices.Values(s.opts.Node.Members())); fleet.DigestStrings(members) != req.Members {
@@ -44,6 +46,9 @@
 		listDigest = reply.Targets.Digest
 	}
 	s.hosts.fillFleetState(req, listDigest, reply)
+	if index := s.hosts.targetIndex(listDigest); index != nil {
+		reply.Limits = s.limits.changeSince(clock.Now(), term, req.KnownVersions.Limits, index)
+	}
 	if req.WantPeers {
 		reply.Peers = s.hosts.peers(req.Host)
 	}
@@ -72,6 +77,15 @@
 	return &g, nil
 }
 
+// permit grants a gateway the permit to send one request to a target that names a request limit.
+func (s *Server) permit(_ context.Context, req *fleet.PermitRequest) (*fleet.PermitReply, error) {
+	if err := s.requireLeader(fleet.DocumentGroup); err != nil {
+		return nil, err
+	}
+	_, term := s.opts.Node.Leader(fleet.DocumentGroup)
+	return s.limits.permit(clock.Now(), term, req), nil
+}
+
 // listHosts returns the hosts that poll this leader.
 func (s *Server) listHosts() (*fleet.HostsReply, error) {
 	if err := s.requireLeader(fleet.DocumentGroup); err != nil {
--- a/controller/server.go
+++ b/controller/server.go
@@ -54,6 +54,7 @@
 	log        logr.Logger
 	hosts      hostTable
 	rates      rateTable
+	limits     limitTable
 	targetList targetList
 	// ledgerFull is set while new programs that keep turns are refused.
 	ledgerFull atomic.Bool
@@ -63,7 +64,7 @@
 // work.
 func New(opts Options) *Server {
 	s := &Server{opts: opts, log: opts.Log}
-	s.hosts.log, s.hosts.outcomes.log = opts.Log, opts.Log
+	s.hosts.log, s.hosts.outcomes.log, s.limits.log = opts.Log, opts.Log, opts.Log
 	return s
 }
 
@@ -71,6 +72,7 @@
 func (s *Server) Register(w *wire.Server) {
 	fleet.Handle(w, fleet.MethodPoll, s.poll)
 	fleet.Handle(w, fleet.MethodRate, s.rate)
+	fleet.Handle(w, fleet.MethodPermit, s.permit)
 	fleet.Handle(w, fleet.MethodPut, s.put)
 	fleet.Handle(w, fleet.MethodGet, func(ctx context.Context, _ *struct{}) (*fleet.GetReply, error) { return s.get(ctx) })
 	fleet.Handle(w, fleet.MethodZone, s.setZone)
--- a/controller/targets.go
+++ b/controller/targets.go
@@ -101,6 +101,7 @@
 	l.logChanges(s, targets)
 	l.replace(at, term, targets)
 	s.hosts.setTargets(l.history.newest(), targets)
+	s.limits.retain(targets)
 }
 
 // sortUnique sorts targets by id and keeps the last entry of each id.
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -12,6 +12,7 @@
 const (
 	MethodPoll    = "fleet.poll"
 	MethodRate    = "fleet.rate"
+	MethodPermit  = "fleet.permit"
 	MethodPut     = "document.put"
 	MethodGet     = "document.get"
 	MethodZone    = "document.zone"
@@ -46,6 +47,8 @@
 	// Crashes lists digests of requests after which a target went down since the last poll.
 	Crashes []uint64 `msgpack:"c,omitempty"`
 	Leaving bool     `msgpack:"l,omitempty"` // the host is shutting down
+	// Limits holds what targets have said about their request limits and the leader may not know.
+	Limits []LimitStatement `msgpack:"n,omitempty"`
 	// IdleEventInterval is the time between two stream events of an otherwise idle engine, in ms by
 	// service; empty: unchanged, or not measured yet.
 	IdleEventInterval map[string]float64 `msgpack:"e,omitempty"`
@@ -63,6 +66,8 @@
 	Targets      uint64 `msgpack:"t"` // digest of the list of targets
 	Members      uint64 `msgpack:"p"` // digest of the members' addresses
 	Blocked      uint64 `msgpack:"b"` // digest of the blocked requests
+	// Limits identifies the statements about request limits.
+	Limits LimitVersion `msgpack:"lv"`
 }
 
 // Update records what a reply has brought up to date. The host itself updates Version and
@@ -77,6 +82,9 @@
 	if reply.BlockedChanged {
 		h.Blocked = DigestNumbers(reply.Blocked)
 	}
+	if reply.Limits != nil {
+		h.Limits = reply.Limits.Version
+	}
 }
 
 // PollReply holds what has changed for the polling host.
@@ -96,6 +104,8 @@
 	// availability zone. Targets with few failures are omitted.
 	FailurePercent map[string]uint8 `msgpack:"u,omitempty"`
 	Grants         map[string]Grant `msgpack:"r,omitempty"`
+	// Limits holds new statements about the request limits of targets; nil: unchanged.
+	Limits *LimitChange `msgpack:"lc,omitempty"`
 	// Blocked lists the digests of requests that crash their targets. It is valid only if
 	// BlockedChanged is set.
 	Blocked        []uint64 `msgpack:"b,omitempty"`
--- a/gateway/balance/choose.go
+++ b/gateway/balance/choose.go
@@ -23,6 +23,8 @@
 	NonRepeatable bool
 	// Connected reports whether an idle connection to a target exists; nil if this is not known.
 	Connected func(id string) bool
+	// Limited tells how targets that name a request limit are chosen.
+	Limited LimitedTargets
 }
 
 // Acquire chooses a target and counts the request as in flight there until Release. It returns
@@ -34,21 +36,33 @@
 	if len(candidates) == 0 {
 		return nil, reason
 	}
-	var t *Target
+	t := s.choose(now, c, candidates)
+	if t.limit.active() {
+		t.limit.share.take()
+	}
+	s.acquire(now, t)
+	return t, ""
+}
+
+// choose returns the best of the candidates, of which there is at least one. The caller holds mu.
+func (s *Set) choose(now time.Duration, c *Criteria, candidates []*Target) *Target {
 	if c.Affinity != "" {
-		t = s.byAffinity(now, c.Affinity, candidates)
-	} else {
-		t = s.leastLoaded(now, candidates, c)
+		return s.byAffinity(now, c.Affinity, candidates)
 	}
+	return s.leastLoaded(now, candidates, c)
+}
+
+// acquire counts a request as in flight at a target. The caller holds mu.
+func (s *Set) acquire(now time.Duration, t *Target) {
+	s.demandOf(t.Service).sent++
 	if t.coldUntil > now {
-		t.coldTokens--
+		t.coldTokens.take()
 	}
 	t.inFlight++
 	if t.pending == 0 {
 		t.lastProgress = now
 	}
 	t.pending++
-	return t, ""
 }
 
 // eligible returns the targets that may take the request. Ejected targets are returned only
@@ -58,17 +72,21 @@
 	if len(all) == 0 {
 		return nil, "the service has no targets"
 	}
-	perSecond := coldRatePerGateway(s.coldLimits[c.Service], s.gateways)
+	perSecond := ratePerGateway(s.coldLimits[c.Service], s.gateways)
 	var ejected []*Target
 	reason = "all targets are draining, excluded or out of service"
 	for _, t := range all {
 		if !s.usable(t) || slices.Contains(c.Exclude, t.ID) {
 			continue
 		}
-		if t.coldUntil > now && perSecond > 0 && !t.coldTokenAvailable(now, perSecond) {
+		if t.coldUntil > now && perSecond > 0 && !t.coldTokens.available(now, perSecond) {
 			reason = "all remaining targets are cold and at their request limit"
 			continue
 		}
+		if t.limit.active() && (c.Limited == ExcludeLimited || !t.limit.shareAvailable(now, s.gateways)) {
+			reason = "all remaining targets are at the request limit that they name"
+			continue
+		}
 		if t.ejectedUntil > now {
 			ejected = append(ejected, t)
 			continue
@@ -166,7 +184,11 @@
 	x := key ^ t.hash
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	x ^= x >> 31
+	if t.limit.active() && t.limit.weight < 1 {
+		return weighted(x, t.limit.weight)
+	}
+	return x
 }
 
 // firstTwo returns the two targets that rank highest for a key. If there is only one target,
--- a/gateway/balance/limit.go
+++ b/gateway/balance/limit.go
@@ -1,14 +1,92 @@
 package balance
 
-// SetLimit records the request limit that a target has named in a response, or that it has named
-// none. It returns false if nothing has changed.
-func (s *Set) SetLimit(t *Target, limited bool, perSecond float64) (changed bool) {
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figlb/figlb/fleet"
+)
+
+// LimitedTargets tells how targets that name a request limit are chosen.
+type LimitedTargets int
+
+// Ways to choose targets that name a request limit.
+const (
+	// ExcludeLimited leaves them out: the leader has granted no permit for one of them.
+	ExcludeLimited LimitedTargets = iota
+	// LimitedByShare includes those for which this gateway's share of the limit allows a request
+	// now. It is for the time in which the leader does not respond.
+	LimitedByShare
+)
+
+// maxPermitCandidates is the number of targets for which one permit is requested. With eight of
+// them, a free permit is found while most targets of a service have none.
+const maxPermitCandidates = 8
+
+// requestLimit is what the gateway knows of the request limit of a target.
+type requestLimit struct {
+	stated    bool    // the target has named a limit, now or before
+	perSecond float64 // negative: no limit
+	statedAt  time.Duration
+	// unreported is set until the leader is known to have the statement.
+	unreported bool
+	// weight is the target's weight in rendezvous hashing, above 0 and at most 1.
+	weight float64
+	// retryAt is the clock time before which the leader has no permit.
+	retryAt time.Duration
+	// share holds this gateway's share of the limit.
+	share shareBucket
+}
+
+// active reports whether the target names a limit.
+func (l *requestLimit) active() bool { return l.stated && l.perSecond >= 0 }
+
+// set records a statement. It returns true if the limit has changed.
+func (l *requestLimit) set(now, statedAt time.Duration, perSecond float64) (changed bool) {
+	changed = !l.stated || fleet.LimitCode(l.perSecond) != fleet.LimitCode(perSecond)
+	if !l.active() && perSecond >= 0 {
+		l.share.start(now)
+	}
+	if changed {
+		l.retryAt = 0
+	}
+	if l.weight == 0 {
+		l.weight = 1
+	}
+	l.stated, l.perSecond, l.statedAt = true, perSecond, statedAt
+	return changed
+}
+
+// rate returns the requests per second that all gateways together may send.
+func (l *requestLimit) rate() float64 { return max(l.perSecond, fleet.MinRequestLimit) }
+
+// shareAvailable reports whether this gateway's share of the limit allows a request now.
+func (l *requestLimit) shareAvailable(now time.Duration, gateways int) bool {
+	return l.share.available(now, ratePerGateway(l.rate(), gateways))
+}
+
+// statement returns what the gateway knows, for the leader.
+func (t *Target) statement(now time.Duration) fleet.LimitStatement {
+	return fleet.LimitStatement{Target: t.ID, PerSecond: float32(t.limit.perSecond), Age: max(now-t.limit.statedAt, 0)}
+}
+
+// HearLimit records the request limit that a target has named in a response, or fleet.NoLimit if
+// it has named none. It returns true if the limit has changed.
+func (s *Set) HearLimit(now time.Duration, t *Target, perSecond float64) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t.limited == limited && t.limitPerSecond == perSecond {
+	if !t.limit.stated && perSecond < 0 {
+		return false
+	}
+	if !t.limit.set(now, now, perSecond) {
 		return false
 	}
-	t.limited, t.limitPerSecond = limited, perSecond
+	t.limit.unreported = true
 	return true
 }
 
@@ -16,5 +94,202 @@
 func (s *Set) Limited(t *Target) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return t.limited
+	return t.limit.active()
+}
+
+// UnreportedLimits returns up to n statements of targets that the leader may not know.
+func (s *Set) UnreportedLimits(now time.Duration, n int) []fleet.LimitStatement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []fleet.LimitStatement
+	for _, t := range s.byID { // the random order lets many gateways report different targets first
+		if len(out) == n {
+			break
+		}
+		if t.limit.unreported {
+			out = append(out, t.statement(now))
+		}
+	}
+	return out
+}
+
+// LimitsReported records that the leader has received statements.
+func (s *Set) LimitsReported(statements []fleet.LimitStatement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, st := range statements {
+		t := s.byID[st.Target]
+		if t != nil && fleet.LimitCode(t.limit.perSecond) == fleet.LimitCode(float64(st.PerSecond)) {
+			t.limit.unreported = false
+		}
+	}
+}
+
+// ReportAllLimits makes UnreportedLimits return all statements again, for a leader that has just
+// been elected.
+func (s *Set) ReportAllLimits() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.byID {
+		t.limit.unreported = t.limit.stated
+	}
+}
+
+// ApplyLimits merges statements that other gateways have reported. It returns false if they don't
+// match the list of targets.
+func (s *Set) ApplyLimits(now time.Duration, limits []fleet.Limit) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range limits {
+		if l.Index >= len(s.ordered) {
+			return false
+		}
+		s.ordered[l.Index].limit.merge(now, l)
+	}
+	return true
+}
+
+// merge adopts a statement of another gateway if it is newer than the one known here. An older one
+// that differs shows that the leader needs this gateway's.
+func (l *requestLimit) merge(now time.Duration, other fleet.Limit) {
+	statedAt := now - other.Age
+	if !l.stated || statedAt > l.statedAt {
+		l.set(now, statedAt, other.PerSecond)
+		l.unreported = false
+		return
+	}
+	l.unreported = fleet.LimitCode(l.perSecond) != fleet.LimitCode(other.PerSecond)
+}
+
+// PermitCandidates returns the targets for which the gateway should request a permit, in order of
+// preference: none unless a limited target would be chosen if it had a permit, or unless there are
+// no others. alternatives tells whether there are others.
+func (s *Set) PermitCandidates(now time.Duration, c *Criteria) (statements []fleet.LimitStatement, alternatives bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limited, ejected := s.limitedTargets(now, c)
+	if len(limited)+len(ejected) == 0 {
+		return nil, true
+	}
+	others, _ := s.eligible(now, c)
+	alternatives = len(others) > 0
+	if alternatives {
+		limited = slices.DeleteFunc(limited, func(t *Target) bool { return t.limit.retryAt > now })
+		if len(limited) == 0 || !s.choose(now, c, append(others, limited...)).limit.active() {
+			return nil, true
+		}
+	}
+	if len(limited) == 0 {
+		limited = ejected
+	}
+	s.sortByPreference(now, c, limited)
+	if alternatives && c.Affinity != "" {
+		limited = limited[:1] // no other limited target has the prompt cached
+	}
+	for _, t := range limited[:min(len(limited), maxPermitCandidates)] {
+		statements = append(statements, t.statement(now))
+	}
+	return statements, alternatives
+}
+
+// limitedTargets returns the targets that name a request limit and may otherwise take the request,
+// those that are ejected apart. The caller holds mu.
+func (s *Set) limitedTargets(now time.Duration, c *Criteria) (limited, ejected []*Target) {
+	perSecond := ratePerGateway(s.coldLimits[c.Service], s.gateways)
+	for _, t := range s.byService[c.Service] {
+		switch {
+		case !t.limit.active() || !s.usable(t) || slices.Contains(c.Exclude, t.ID):
+		case t.coldUntil > now && perSecond > 0 && !t.coldTokens.available(now, perSecond):
+		case t.ejectedUntil > now:
+			ejected = append(ejected, t)
+		default:
+			limited = append(limited, t)
+		}
+	}
+	return limited, ejected
+}
+
+// sortByPreference sorts targets in the order in which they should take a request: first those
+// that may have a permit, of these the ones that rank highest for the affinity key, or else the
+// cheapest, of those without a permit the ones that get it first. The caller holds mu.
+func (s *Set) sortByPreference(now time.Duration, c *Criteria, targets []*Target) {
+	key := xxhash.Sum64String(c.Affinity)
+	costs := map[*Target]float64{}
+	for _, t := range targets {
+		costs[t] = t.expectedCost(now)
+	}
+	// Equal targets must not have the same order at all gateways.
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	slices.SortStableFunc(targets, func(a, b *Target) int {
+		if byWait := cmp.Compare(max(a.limit.retryAt, now), max(b.limit.retryAt, now)); byWait != 0 {
+			return byWait
+		}
+		if c.Affinity != "" {
+			return cmp.Compare(b.rank(key), a.rank(key))
+		}
+		return cmp.Compare(costs[a], costs[b])
+	})
+}
+
+// AcquirePermitted counts a request as in flight at a target for which the leader has granted a
+// permit. It returns nil if the target is not listed any more.
+func (s *Set) AcquirePermitted(now time.Duration, id string) *Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.byID[id]
+	if t == nil || !s.usable(t) {
+		return nil
+	}
+	s.acquire(now, t)
+	return t
+}
+
+// PermitDenied records how long the leader has no permits for targets.
+func (s *Set) PermitDenied(now time.Duration, statements []fleet.LimitStatement, waits []time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, wait := range waits[:min(len(waits), len(statements))] {
+		if t := s.byID[statements[i].Target]; t != nil {
+			t.limit.retryAt = now + wait
+		}
+	}
+}
+
+// shareBucket is the token bucket of this gateway's share of a rate that all gateways have in
+// common. It is used where no permits are granted for single requests.
+type shareBucket struct {
+	tokens     float64
+	refilledAt time.Duration
+}
+
+// start begins with a random fraction of a token, so that gateways don't all get their first
+// token at once.
+func (b *shareBucket) start(now time.Duration) {
+	b.refilledAt, b.tokens = now, rand.Float64()
+}
+
+// available refills the bucket and reports whether this gateway may send a request now. take takes
+// the token.
+func (b *shareBucket) available(now time.Duration, perSecond float64) bool {
+	b.tokens += perSecond * (now - b.refilledAt).Seconds()
+	b.refilledAt = now
+	whole, fraction := math.Modf(b.tokens)
+	b.tokens = fraction
+	if whole < 1 || fraction/perSecond > shareTokenLifetime.Seconds() {
+		return false
+	}
+	b.tokens++
+	return true
+}
+
+func (b *shareBucket) take() { b.tokens-- }
+
+// ratePerGateway returns the requests per second that one gateway may send to a target that takes
+// the given rate from all gateways together.
+func ratePerGateway(perSecond float64, gateways int) float64 {
+	share := perSecond / float64(gateways)
+	if share < 1 {
+		share *= sparseShareFactor
+	}
+	return share
 }
--- a/gateway/balance/set.go
+++ b/gateway/balance/set.go
@@ -23,6 +23,7 @@
 	zonesOut   map[string]bool
 	gateways   int
 	coldLimits map[string]float64 // by service: requests per second to one cold target from all gateways
+	demands    map[string]*demand // by service
 }
 
 // NewSet returns an empty set for a gateway in the given availability zone.
@@ -34,6 +35,7 @@
 		zonesOut:   map[string]bool{},
 		gateways:   1,
 		coldLimits: map[string]float64{},
+		demands:    map[string]*demand{},
 	}
 }
 
@@ -219,15 +221,23 @@
 }
 
 // Utilisation returns the utilisation of a service: the load of its usable targets divided by their
-// slots, ejected targets left out. It is 0 if there are none, and above 1 if requests queue.
+// slots, ejected targets left out. It is 0 if there are none, and above 1 if requests queue. Targets
+// that name a request limit count only if there are no others: their limit keeps slots free that no
+// request can use.
 func (s *Set) Utilisation(now time.Duration, service string) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	load, slots := 0.0, 0.0
+	var targets []*Target
 	for _, t := range s.byService[service] {
-		if !s.usable(t) || t.ejectedUntil > now {
-			continue
+		if s.usable(t) && t.ejectedUntil <= now {
+			targets = append(targets, t)
 		}
+	}
+	if unlimited := slices.DeleteFunc(slices.Clone(targets), func(t *Target) bool { return t.limit.active() }); len(unlimited) > 0 {
+		targets = unlimited
+	}
+	load, slots := 0.0, 0.0
+	for _, t := range targets {
 		load += t.load(now)
 		slots += t.slots()
 	}
--- a/gateway/balance/target.go
+++ b/gateway/balance/target.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"github.com/figlb/figlb/fleet"
@@ -33,14 +32,14 @@
 	// failureHalfLife is the time in which the failure rate of a target without responses
 	// halves, so that the target is tried again.
 	failureHalfLife = 2 * time.Second
-	// coldTokenLifetime is how long a gateway may use a token for a request to a cold target.
+	// shareTokenLifetime is how long a gateway may use a token of its share of a common rate.
 	// Unused tokens expire: if hundreds of gateways each kept one, they could all spend it at
 	// the same moment.
-	coldTokenLifetime = 300 * time.Millisecond
-	// sparseColdFactor scales the rate of a gateway whose share of a cold target's limit is
-	// below one request per second. Requests of different gateways then coincide at random,
-	// so that only part of the limit is handed out.
-	sparseColdFactor = 0.6
+	shareTokenLifetime = 300 * time.Millisecond
+	// sparseShareFactor scales the rate of a gateway whose share of a common rate is below one
+	// request per second. Requests of different gateways then coincide at random, so that only
+	// part of the rate is handed out.
+	sparseShareFactor = 0.6
 )
 
 // Target is a target with the state that this gateway keeps of it. The mutex of its Set guards
@@ -50,10 +49,7 @@
 	hash      uint64 // of the id
 	coldUntil time.Duration
 	leaving   bool // the target has announced that it is about to stop
-
-	// limited is set while the target names a request limit, and limitPerSecond is that limit.
-	limited        bool
-	limitPerSecond float64
+	limit     requestLimit
 
 	inFlight      int32 // requests of this gateway
 	otherInFlight int32 // requests of all other gateways
@@ -81,10 +77,9 @@
 	slowness            float64 // moving average of latency as a multiple of the usual; 0: unknown
 	slownessAt          time.Duration
 
-	// coldTokens is the token bucket for requests to the target while it is cold, last
-	// refilled at coldRefilledAt.
-	coldTokens     float64
-	coldRefilledAt time.Duration
+	// coldTokens holds this gateway's share of the requests that the target takes while it is
+	// cold.
+	coldTokens shareBucket
 }
 
 // load estimates the number of requests at the target: the in-flight requests of all gateways,
@@ -97,39 +92,14 @@
 	return n
 }
 
-// setCold makes the target cold until the given time. A target that turns cold starts with a
-// random fraction of a token, so that gateways don't all get their first token at once.
+// setCold makes the target cold until the given time.
 func (t *Target) setCold(now, until time.Duration) {
 	if t.coldUntil <= now && until > now {
-		t.coldRefilledAt, t.coldTokens = now, rand.Float64()
+		t.coldTokens.start(now)
 	}
 	t.coldUntil = until
 }
 
-// coldRatePerGateway returns the requests per second that one gateway may send to a cold target
-// which tolerates the given rate from all gateways together.
-func coldRatePerGateway(tolerated float64, gateways int) float64 {
-	share := tolerated / float64(gateways)
-	if share < 1 {
-		share *= sparseColdFactor
-	}
-	return share
-}
-
-// coldTokenAvailable refills the token bucket of a cold target and reports whether this gateway
-// may send it a request now. Acquire takes the token.
-func (t *Target) coldTokenAvailable(now time.Duration, perSecond float64) bool {
-	t.coldTokens += perSecond * (now - t.coldRefilledAt).Seconds()
-	t.coldRefilledAt = now
-	whole, fraction := math.Modf(t.coldTokens)
-	t.coldTokens = fraction
-	if whole < 1 || fraction/perSecond > coldTokenLifetime.Seconds() {
-		return false
-	}
-	t.coldTokens++
-	return true
-}
-
 // stallRatio returns how long the target has sent no response while requests are pending, in
 // units of stallAfter. It is 0 below stallAfter.
 func (t *Target) stallRatio(now time.Duration) float64 {
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -182,6 +182,7 @@
 		Want:              g.admissions.pollDemand(),
 		Crashes:           g.crashes.take(),
 		Leaving:           g.stoppingFor() > stopGracePeriod,
+		Limits:            g.targets.UnreportedLimits(now, maxLimitsPerPoll),
 		WantEventInterval: g.intervals.noneMeasured(),
 		WantPeers:         now-f.peersRequestedAt >= peersRefreshInterval || len(g.leaderContact.knownPeers()) < minPeers,
 	}
@@ -232,6 +233,10 @@
 		g.log.Info("loads do not match the list of targets; requesting the whole list", "loads", len(reply.Loads), "targets", g.targets.Size())
 		f.known.Targets = 0
 	}
+	if !f.applyLimits(req, reply.Limits) {
+		f.known.Limits = fleet.LimitVersion{} // requests all of them again
+	}
+	g.targets.UpdateLimitWeights(clock.Now())
 	g.targets.SetZoneFailureRates(reply.FailurePercent)
 	g.admissions.applyPollGrants(reply.Grants)
 	g.intervals.adopt(reply.IdleEventInterval)
@@ -245,6 +250,30 @@
 	}
 }
 
+// applyLimits merges what other gateways have heard from targets. A leader of a new term knows
+// nothing of that yet, so it is told all that this gateway knows.
+func (f *follower) applyLimits(req *fleet.PollRequest, change *fleet.LimitChange) bool {
+	g := f.g
+	g.targets.LimitsReported(req.Limits)
+	if change == nil {
+		return true
+	}
+	limits, err := change.Limits.Decode()
+	if err != nil {
+		g.log.Error(err, "cannot decode the request limits of targets; keeping the previous ones")
+		return false
+	}
+	if change.Version.Term != req.KnownVersions.Limits.Term {
+		g.targets.ReportAllLimits()
+	}
+	if !g.targets.ApplyLimits(clock.Now(), limits) {
+		g.log.Info("request limits do not match the list of targets; requesting the whole list", "limits", len(limits), "targets", g.targets.Size())
+		f.known.Targets = 0
+		return false
+	}
+	return true
+}
+
 // applyTargetChange applies a change of the list of targets.
 func (f *follower) applyTargetChange(change *fleet.TargetChange) error {
 	if change == nil {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -45,13 +45,13 @@
 	ran := 0
 	var last sendResult
 	for n := 0; n < maxSends && ctx.Err() == nil; n++ {
-		t, reason := x.g.targets.Acquire(clock.Now(), &criteria)
-		if t == nil {
-			if len(criteria.Exclude) > 0 && x.pauseAfterRefusals(ctx) {
+		t, err := x.acquire(ctx, &criteria)
+		if err != nil {
+			if len(criteria.Exclude) > 0 && sleep(ctx, allRefusedPause) {
 				criteria.Exclude = nil
 				continue
 			}
-			return x.noTargetError(reason, last, ran)
+			return x.noTargetError(err, last, ran)
 		}
 		x.targets = append(x.targets, t.ID)
 		last = x.sendTo(ctx, t)
@@ -73,19 +73,6 @@
 
 func (x *exchange) maxAttempts() int { return max(x.route.MaxAttempts, 1) }
 
-// pauseAfterRefusals waits before the request is sent again to targets that have refused it. It
-// returns false if ctx ends first.
-func (x *exchange) pauseAfterRefusals(ctx context.Context) bool {
-	t := time.NewTimer(allRefusedPause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // cancelReservation settles the reservation with no tokens if it has not been settled yet.
 func (x *exchange) cancelReservation() {
 	if x.reserved {
@@ -93,11 +80,12 @@
 	}
 }
 
-func (x *exchange) noTargetError(reason string, last sendResult, ran int) error {
+// noTargetError returns the error of a request for which no further target was found.
+func (x *exchange) noTargetError(err error, last sendResult, ran int) error {
 	if ran > 0 {
 		return x.targetFailedError(last.err, ran)
 	}
-	return errs.New(errs.NoTarget, "retry", "service %q: %s", x.service(), reason).WithRetryAfter(noTargetRetryAfter)
+	return err
 }
 
 // targetFailedError returns the error of a request that may have run at one or more targets.
@@ -133,7 +121,7 @@
 	}
 	a := x.g.opts.Adapter.DecodeResponse(resp.StatusCode, resp.Header)
 	x.observeLoad(t, &a)
-	x.logLimit(t, &a)
+	x.hearLimit(t, &a)
 	if a.Leaving && x.g.targets.MarkLeaving(t) {
 		x.g.log.Info("target leaves", "target", t.ID, "service", t.Service, "request", x.req.ID)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,7 +19,9 @@
 	// limitedFirst and limitedRepeated count the requests sent to targets that name a request
 	// limit: those sent for the first time, and those sent again after another target.
 	limitedFirst, limitedRepeated metrics.Counter
-	latency                       metrics.Histogram // in microseconds
+	// permitsRequested and permitsDenied count requests for permits to use such targets.
+	permitsRequested, permitsDenied metrics.Counter
+	latency                         metrics.Histogram // in microseconds
 	// logSecond is the current second of the clock, and logLines counts the log lines of served
 	// requests in it.
 	logSecond atomic.Int64
@@ -37,15 +39,17 @@
 
 func newMetrics(r metrics.Registry) *gatewayMetrics {
 	return &gatewayMetrics{
-		registry:        r,
-		requests:        metrics.GetOrRegisterCounter("gateway.requests", r),
-		served:          metrics.GetOrRegisterCounter("gateway.served", r),
-		pollFailures:    metrics.GetOrRegisterCounter("gateway.poll_failures", r),
-		relayed:         metrics.GetOrRegisterCounter("gateway.relayed", r),
-		onCredit:        metrics.GetOrRegisterCounter("gateway.admitted_on_credit", r),
-		limitedFirst:    metrics.GetOrRegisterCounter("gateway.limited_sends.first", r),
-		limitedRepeated: metrics.GetOrRegisterCounter("gateway.limited_sends.repeated", r),
-		latency:         metrics.GetOrRegisterHistogram("gateway.latency_us", r, metrics.NewExpDecaySample(latencySamples, latencyDecay)),
+		registry:         r,
+		requests:         metrics.GetOrRegisterCounter("gateway.requests", r),
+		served:           metrics.GetOrRegisterCounter("gateway.served", r),
+		pollFailures:     metrics.GetOrRegisterCounter("gateway.poll_failures", r),
+		relayed:          metrics.GetOrRegisterCounter("gateway.relayed", r),
+		onCredit:         metrics.GetOrRegisterCounter("gateway.admitted_on_credit", r),
+		limitedFirst:     metrics.GetOrRegisterCounter("gateway.limited_sends.first", r),
+		limitedRepeated:  metrics.GetOrRegisterCounter("gateway.limited_sends.repeated", r),
+		permitsRequested: metrics.GetOrRegisterCounter("gateway.permits.requested", r),
+		permitsDenied:    metrics.GetOrRegisterCounter("gateway.permits.denied", r),
+		latency:          metrics.GetOrRegisterHistogram("gateway.latency_us", r, metrics.NewExpDecaySample(latencySamples, latencyDecay)),
 	}
 }
 
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -56,6 +56,9 @@
 		return nil
 	}
 	service := x.service()
+	if wait := x.g.permits.scarceFor(service); wait > 0 && !x.programBegun(ctx) {
+		return targetsLimitedError(service, wait)
+	}
 	slotShare := x.g.targets.Utilisation(clock.Now(), service)
 	intervalRatio := x.g.intervals.ratio(clock.Now(), service)
 	excess := overloadExcess(slotShare, intervalRatio, x.priority())
--- /dev/null
+++ b/gateway/permits.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/fleet"
+	"github.com/figlb/figlb/gateway/balance"
+	"github.com/figlb/figlb/internal/clock"
+)
+
+const (
+	// permitTimeout bounds one request for a permit. The leader answers from memory.
+	permitTimeout = 500 * time.Millisecond
+	// maxPermitDelay is how long a request without an alternative waits for a permit. A longer wait
+	// is left to the caller, which may find another service or give up.
+	maxPermitDelay = 150 * time.Millisecond
+	// maxAffinityDelay is how long a request waits for a permit of the target that has most of its
+	// prompt cached: about the time in which another target would process the prompt again.
+	maxAffinityDelay = 40 * time.Millisecond
+	// permitRetryPause is the pause before a permit is requested again from a leader that has not
+	// answered.
+	permitRetryPause = 50 * time.Millisecond
+	// maxLimitsPerPoll limits the statements of targets in one poll, so that a poll stays small when
+	// most targets of a large site name a limit at once.
+	maxLimitsPerPoll = 20
+	// scarcityPeriod is the time after a refused permit for which a service takes no new programs.
+	scarcityPeriod = 500 * time.Millisecond
+)
+
+// permits decides which requests are sent to targets that name a request limit. Each such request
+// needs a permit of the leader, which counts the requests of all gateways. While the leader does
+// not respond, a gateway uses its share of each limit.
+type permits struct {
+	g *Gateway
+
+	mu          sync.Mutex
+	scarceUntil map[string]time.Duration // by service
+}
+
+func newPermits(g *Gateway) *permits {
+	return &permits{g: g, scarceUntil: map[string]time.Duration{}}
+}
+
+// scarceFor returns how long a service has no permits for new programs.
+func (p *permits) scarceFor(service string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.scarceUntil[service]-clock.Now(), 0)
+}
+
+func (p *permits) setScarce(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.scarceUntil[service] = clock.Now() + scarcityPeriod
+}
+
+// acquire chooses a target and counts the request as in flight there. It fails if no target may
+// take the request now.
+func (x *exchange) acquire(ctx context.Context, c *balance.Criteria) (*balance.Target, error) {
+	until := clock.Now() + maxAdmissionWait(x.timeLeft(), true)
+	for {
+		c.Limited = balance.ExcludeLimited
+		candidates, alternatives := x.g.targets.PermitCandidates(clock.Now(), c)
+		if len(candidates) == 0 {
+			return x.acquireWithoutPermit(c)
+		}
+		reply, err := x.requestPermit(ctx, c, candidates, alternatives)
+		if err == nil {
+			return x.applyPermit(ctx, c, candidates, reply)
+		}
+		c.Limited = balance.LimitedByShare
+		if t, err := x.acquireWithoutPermit(c); err == nil {
+			return t, nil
+		}
+		if x.g.leaderContact.cutOff() {
+			return nil, cutOffError()
+		}
+		if !x.g.config.leaderAbsent() || clock.Now() >= until || !sleep(ctx, permitRetryPause) {
+			return nil, errs.New(errs.Unavailable, "retry", "the leader that grants requests to limited targets does not respond: %v", err).WithRetryAfter(leaderAbsentRetryAfter)
+		}
+	}
+}
+
+// acquireWithoutPermit chooses a target that needs no permit.
+func (x *exchange) acquireWithoutPermit(c *balance.Criteria) (*balance.Target, error) {
+	t, reason := x.g.targets.Acquire(clock.Now(), c)
+	if t == nil {
+		return nil, errs.New(errs.NoTarget, "retry", "service %q: %s", c.Service, reason).WithRetryAfter(noTargetRetryAfter)
+	}
+	return t, nil
+}
+
+// requestPermit requests the permit for one request to one of the candidates.
+func (x *exchange) requestPermit(ctx context.Context, c *balance.Criteria, candidates []fleet.LimitStatement, alternatives bool) (*fleet.PermitReply, error) {
+	if x.g.config.leaderAbsent() {
+		return nil, errs.New(errs.Unavailable, "retry", "no poll has been answered for %d ms", x.g.config.age().Milliseconds())
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	x.g.metrics.permitsRequested.Inc(1)
+	req := &fleet.PermitRequest{Host: x.g.opts.Host, Candidates: candidates, NoAlternative: !alternatives}
+	switch {
+	case !alternatives:
+		req.MaxDelay = maxPermitDelay
+	case c.Affinity != "":
+		req.MaxDelay = maxAffinityDelay
+	}
+	return x.g.opts.Client.Permit(ctx, req)
+}
+
+// applyPermit acquires the target for which a permit was granted, if need be after the granted
+// delay. Without a permit it chooses a target without a limit or refuses the request.
+func (x *exchange) applyPermit(ctx context.Context, c *balance.Criteria, candidates []fleet.LimitStatement, reply *fleet.PermitReply) (*balance.Target, error) {
+	if i := reply.Granted; i > 0 && i <= len(candidates) {
+		if !sleep(ctx, reply.Delay) {
+			return nil, errs.New(errs.Unavailable, "retry", "the request ended while it waited for a limited target").WithRetryAfter(noTargetRetryAfter)
+		}
+		if t := x.g.targets.AcquirePermitted(clock.Now(), candidates[i-1].Target); t != nil {
+			return t, nil
+		}
+		return x.acquireWithoutPermit(c)
+	}
+	x.g.metrics.permitsDenied.Inc(1)
+	x.g.targets.PermitDenied(clock.Now(), candidates, reply.Waits)
+	if reply.RetryAfter == 0 {
+		return x.acquireWithoutPermit(c)
+	}
+	x.g.permits.setScarce(c.Service)
+	return nil, targetsLimitedError(c.Service, reply.RetryAfter)
+}
+
+// targetsLimitedError refuses a request because all targets of its service name a request limit
+// and have reached it.
+func targetsLimitedError(service string, retryAfter time.Duration) error {
+	return errs.New(errs.Overloaded, "retry later", "service %q: all targets are at the request limit that they name", service).WithRetryAfter(retryAfter)
+}
+
+// sleep waits and returns false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// hearLimit records what a response says about the request limit of its target. A response that
+// does not come from the target, or may not, cannot end the limit.
+func (x *exchange) hearLimit(t *balance.Target, a *TargetResponse) {
+	perSecond := float64(fleet.NoLimit)
+	switch {
+	case a.Misdirected:
+		return
+	case a.Limit.Malformed != "":
+		x.g.log.Info("target names a request limit that is not a number; ignoring it", "target", t.ID, "request", x.req.ID, "value", a.Limit.Malformed)
+		return
+	case a.Limit.Named:
+		perSecond = a.Limit.PerSecond
+	case !a.Signed && !a.NotRun || a.RequestID != x.req.ID:
+		return
+	}
+	if x.g.targets.HearLimit(clock.Now(), t, perSecond) {
+		x.g.log.Info("request limit of target changed", "target", t.ID, "service", t.Service, "request", x.req.ID,
+			"limited", a.Limit.Named, "per_second", a.Limit.PerSecond)
+	}
+}
+
+// countLimitedSend counts a request that is about to be sent to a target which names a request
+// limit.
+func (x *exchange) countLimitedSend(t *balance.Target) {
+	switch {
+	case !x.g.targets.Limited(t):
+	case len(x.targets) > 1:
+		x.g.metrics.limitedRepeated.Inc(1)
+	default:
+		x.g.metrics.limitedFirst.Inc(1)
+	}
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,7 +8,7 @@
 # The tests listed in KNOWN-RED.txt: subtests of package gateway/upstream and specs of the
 # platform suite.
 red_subtests='^TestUnboundedResponses$/^(endless_header_lines|endless_chunks_of_another_response)$'
-red_specs='limits the memory and time spent on endless responses in a body with(out)? a length|targets that name a request limit (get no more|leave the rest)'
+red_specs='limits the memory and time spent on endless responses in a body with(out)? a length'
 
 # The end-to-end tests measure times across several processes, so they do not run concurrently
 # with the other tests. Package platform needs a flag that other packages do not accept, so it
--- a/stateclient/fleet.go
+++ b/stateclient/fleet.go
@@ -29,6 +29,11 @@
 	return callController[fleet.Grant](ctx, c, fleet.DocumentGroup, fleet.MethodRate, false, req)
 }
 
+// Permit asks for the permit to send a request to a target that names a request limit.
+func (c *Client) Permit(ctx context.Context, req *fleet.PermitRequest) (*fleet.PermitReply, error) {
+	return callController[fleet.PermitReply](ctx, c, fleet.DocumentGroup, fleet.MethodPermit, false, req)
+}
+
 // PutDocument stores a version of the document.
 func (c *Client) PutDocument(ctx context.Context, req *fleet.PutRequest) (*fleet.PutReply, error) {
 	return callController[fleet.PutReply](ctx, c, fleet.DocumentGroup, fleet.MethodPut, true, req)
