--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -49,6 +49,8 @@
 	// recoveryTimeout is the time within which all gateways must serve again after the last fault.
 	recoveryTimeout = 12 * time.Second
 	clientCount     = 12
+	// limitSeed makes the random numbers of limitTargets differ from those of the other faults.
+	limitSeed = 0x6c696d6974
 )
 
 // Run starts a site, injects the faults of one seed under load and checks the guarantees.
@@ -83,11 +85,17 @@
 	wg.Go(func() { w.runOperator(ctx) })
 	wg.Go(func() { w.probeKeys(ctx) })
 	wg.Go(func() { s.disturbTargets(ctx, rand.New(rand.NewSource(^opts.Seed))) })
+	limitCtx, endLimits := context.WithCancel(ctx)
+	var limits []limitPeriod
+	var limiting sync.WaitGroup
+	limiting.Go(func() { limits = s.limitTargets(limitCtx, rand.New(rand.NewSource(opts.Seed^limitSeed))) })
 	s.injectFaults(time.Now().Add(opts.FaultDuration), func(f string) { report.Faults = append(report.Faults, f) })
+	endLimits()
+	limiting.Wait()
 	w.checkRecovery()
 	cancel()
 	wg.Wait()
-	w.check(report)
+	w.check(report, limits)
 	if w.probesServed == 0 {
 		report.Violations = append(report.Violations, "no request with the rotating key was served, so key revocation was not tested")
 	}
