--- a/controller/hosts.go
+++ b/controller/hosts.go
@@ -227,8 +227,12 @@
 	if t.blockedDigest != req.Blocked {
 		reply.Blocked, reply.BlockedChanged = t.blocked, true
 	}
+	interval := t.loads.sendInterval()
+	if reply.Limits != nil {
+		interval *= 2 // leaves room for the limits when most targets name one at once
+	}
 	h := t.hosts[req.Host]
-	if h == nil || listDigest != t.loads.digest || now-h.loadsSentAt < t.loads.sendInterval() {
+	if h == nil || listDigest != t.loads.digest || now-h.loadsSentAt < interval {
 		return
 	}
 	h.loadsSentAt = now
--- a/controller/limits.go
+++ b/controller/limits.go
@@ -19,8 +19,8 @@
 	// would have to wait longer have given up by then.
 	maxReturnDelay = 5 * time.Second
 	// maxLimitsPerReply limits the statements in one reply to a poll, so that their four bytes each
-	// stay below 3 KB a second when most targets of a large site name limits at once.
-	maxLimitsPerReply = 150
+	// stay below 4 KB a second when most targets of a large site name limits at once.
+	maxLimitsPerReply = 200
 )
 
 // limitTable holds the request limits that targets have named, and grants the permits to send
@@ -64,39 +64,38 @@
 }
 
 // report records what a gateway has heard from targets.
-func (t *limitTable) report(now time.Duration, term uint64, host string, statements []fleet.LimitStatement) {
+func (t *limitTable) report(now time.Duration, term uint64, statements []fleet.LimitStatement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.startTerm(term)
 	for _, s := range statements {
-		t.record(now, host, s)
+		t.record(now, s)
 	}
 }
 
-// record merges a statement and returns the state of its target. The caller holds mu.
-func (t *limitTable) record(now time.Duration, host string, s fleet.LimitStatement) *targetLimit {
-	statedAt := now - max(s.Age, 0)
+// record merges a statement. The caller holds mu.
+func (t *limitTable) record(now time.Duration, s fleet.LimitStatement) {
+	statedAt := now - s.Age()
 	l := t.targets[s.Target]
 	if l == nil {
 		l = &targetLimit{id: s.Target, perSecond: fleet.NoLimit, statedAt: statedAt - 1, refilledAt: now}
 		t.targets[s.Target] = l
 	}
 	if statedAt <= l.statedAt {
-		return l
+		return
 	}
 	l.statedAt = statedAt
 	l.refill(now)
 	before := l.perSecond
 	l.perSecond = float64(s.PerSecond)
 	if fleet.LimitCode(before) == fleet.LimitCode(l.perSecond) && l.revision > 0 {
-		return l
+		return
 	}
 	if before < 0 {
 		l.permits, l.returnAt = 0, 0
 	}
 	t.moveToEnd(l)
-	t.log.Info("request limit of target changed", "target", l.id, "peer", host, "limited", l.perSecond >= 0, "per_second", l.perSecond, "age_ms", s.Age.Milliseconds())
-	return l
+	t.log.Info("request limit of target changed", "target", l.id, "limited", l.perSecond >= 0, "per_second", l.perSecond, "age_ms", s.AgeMs)
 }
 
 // moveToEnd gives a target the newest revision.
@@ -168,47 +167,69 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.startTerm(term)
-	reply := &fleet.PermitReply{}
-	var soonest *targetLimit
-	for i, s := range req.Candidates {
-		l := t.record(now, req.Host, s)
-		l.refill(now)
+	for _, s := range req.Limits {
+		t.record(now, s)
+	}
+	candidates, known := t.candidates(now, req.Candidates)
+	if !known {
+		return &fleet.PermitReply{}
+	}
+	soonest := 0
+	for i, l := range candidates {
 		wait := l.wait()
 		if wait == 0 {
 			l.permits--
 			return &fleet.PermitReply{Granted: i + 1}
 		}
-		reply.Waits = append(reply.Waits, wait)
-		if soonest == nil || wait < soonest.wait() {
-			soonest, reply.Granted, reply.Delay = l, i+1, wait
+		if wait < candidates[soonest].wait() {
+			soonest = i
 		}
 	}
-	if soonest != nil && reply.Delay <= req.MaxDelay {
-		soonest.permits--
-		reply.Waits = nil
-		return reply
+	if wait := candidates[soonest].wait(); wait <= req.MaxDelay {
+		candidates[soonest].permits--
+		return &fleet.PermitReply{Granted: soonest + 1, Delay: wait}
+	}
+	reply := &fleet.PermitReply{}
+	for _, l := range candidates {
+		reply.WaitMs = append(reply.WaitMs, int(l.wait().Milliseconds())+1)
 	}
-	reply.Granted, reply.Delay = 0, 0
-	if soonest != nil && req.NoAlternative {
-		reply.RetryAfter = t.scheduleReturn(now, req)
+	if req.NoAlternative {
+		reply.RetryAfter = scheduleReturn(now, candidates)
 	}
 	return reply
 }
 
+// candidates returns the state of targets as of now. It returns false if the limit of one of them is
+// not known, as may be at the beginning of a term. The caller holds mu.
+func (t *limitTable) candidates(now time.Duration, ids []string) ([]*targetLimit, bool) {
+	out := make([]*targetLimit, len(ids))
+	for i, id := range ids {
+		l := t.targets[id]
+		if l == nil {
+			return nil, false
+		}
+		l.refill(now)
+		out[i] = l
+	}
+	return out, len(out) > 0
+}
+
 // scheduleReturn returns the time after which the caller of a refused request should return.
 // Callers are told different times, so that they return at the pace of the limits.
-func (t *limitTable) scheduleReturn(now time.Duration, req *fleet.PermitRequest) time.Duration {
-	var best *targetLimit
-	bestAt := time.Duration(0)
-	for _, s := range req.Candidates {
-		l := t.targets[s.Target]
-		if at := max(now+l.wait(), l.returnAt+l.interval()); best == nil || at < bestAt {
+func scheduleReturn(now time.Duration, candidates []*targetLimit) time.Duration {
+	best, bestAt := candidates[0], candidates[0].nextReturn(now)
+	for _, l := range candidates[1:] {
+		if at := l.nextReturn(now); at < bestAt {
 			best, bestAt = l, at
 		}
 	}
-	bestAt = min(bestAt, now+maxReturnDelay)
-	best.returnAt = bestAt
-	return bestAt - now
+	best.returnAt = min(bestAt, now+maxReturnDelay)
+	return best.returnAt - now
+}
+
+// nextReturn returns when the next refused caller should return.
+func (l *targetLimit) nextReturn(now time.Duration) time.Duration {
+	return max(now+l.wait(), l.returnAt+l.interval())
 }
 
 // rate returns the permits per second. A target that names no limit has none.
--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -102,8 +102,8 @@
 }
 
 func (s *limitSite) poll(g *limitGateway) {
-	reported := g.set.UnreportedLimits(s.now, 20)
-	s.table.report(s.now, s.term, "g", reported)
+	reported := g.set.UnreportedLimits(s.now, 10)
+	s.table.report(s.now, s.term, reported)
 	g.set.LimitsReported(reported)
 	change := s.table.changeSince(s.now, s.term, g.held, s.index)
 	g.set.SetFleetLoad(len(s.gateways), nil, nil)
@@ -127,27 +127,13 @@
 	if s.affinity {
 		c.Affinity = fmt.Sprint("program", s.rng.IntN(2000))
 	}
-	candidates, alternatives := g.set.PermitCandidates(s.now, c)
-	if len(candidates) > 0 && (s.absent || g.out) {
+	req := g.set.PermitCandidates(s.now, c)
+	switch {
+	case req == nil:
+	case s.absent || g.out:
 		c.Limited = balance.LimitedByShare
-	} else if len(candidates) > 0 {
-		maxDelay := 150 * time.Millisecond
-		if alternatives {
-			maxDelay = 0
-		}
-		if alternatives && s.affinity {
-			maxDelay = 40 * time.Millisecond
-		}
-		reply := s.table.permit(s.now, s.term, &fleet.PermitRequest{Host: "g", Candidates: candidates, NoAlternative: !alternatives, MaxDelay: maxDelay})
-		if reply.Granted > 0 {
-			s.pending = append(s.pending, permittedRequest{s.now + reply.Delay, g, candidates[reply.Granted-1].Target})
-			return
-		}
-		g.set.PermitDenied(s.now, candidates, reply.Waits)
-		if reply.RetryAfter > 0 {
-			s.refused++
-			return
-		}
+	case s.requestPermit(g, c, req):
+		return
 	}
 	if t, _ := g.set.Acquire(s.now, c); t != nil {
 		s.arrive(g, t)
@@ -156,6 +142,30 @@
 	}
 }
 
+// requestPermit requests a permit and acts on the reply. It returns true if the request is permitted
+// or refused.
+func (s *limitSite) requestPermit(g *limitGateway, c *balance.Criteria, req *fleet.PermitRequest) bool {
+	if req.NoAlternative {
+		req.MaxDelay = 150 * time.Millisecond
+	} else if s.affinity {
+		req.MaxDelay = 40 * time.Millisecond
+	}
+	reply := s.table.permit(s.now, s.term, req)
+	switch {
+	case reply.Granted > 0:
+		s.pending = append(s.pending, permittedRequest{s.now + reply.Delay, g, req.Candidates[reply.Granted-1]})
+		return true
+	case len(reply.WaitMs) == 0:
+		c.Limited = balance.LimitedByShare
+		return false
+	}
+	g.set.PermitDenied(s.now, req, reply)
+	if req.NoAlternative {
+		s.refused++
+	}
+	return req.NoAlternative
+}
+
 // arrive counts a request at a target and has the gateway hear the target's limit.
 func (s *limitSite) arrive(g *limitGateway, t *balance.Target) {
 	s.arrivals[t.ID] = append(s.arrivals[t.ID], s.now)
@@ -324,8 +334,9 @@
 func TestRefusedCallersReturnAtThePaceOfTheLimits(t *testing.T) {
 	g := NewWithT(t)
 	table := &limitTable{log: logr.Discard()}
-	req := &fleet.PermitRequest{Candidates: []fleet.LimitStatement{{Target: "a", PerSecond: 2}, {Target: "b", PerSecond: 2}}, NoAlternative: true}
+	req := &fleet.PermitRequest{Candidates: []string{"a", "b"}, NoAlternative: true}
 	now := time.Second
+	table.report(now, 1, []fleet.LimitStatement{{Target: "a", PerSecond: 2}, {Target: "b", PerSecond: 2}})
 	var previous time.Duration
 	for i := range 16 {
 		reply := table.permit(now, 1, req)
@@ -345,7 +356,7 @@
 	table := &limitTable{log: logr.Discard()}
 	targets := []fleet.Target{{ID: "a", StartedAt: 1}, {ID: "b", StartedAt: 1}, {ID: "c", StartedAt: 1}}
 	index := map[string]int{"a": 0, "b": 1, "c": 2}
-	table.report(0, 1, "g", []fleet.LimitStatement{{Target: "a", PerSecond: 3}, {Target: "b", PerSecond: 3}, {Target: "c", PerSecond: 3}})
+	table.report(0, 1, []fleet.LimitStatement{{Target: "a", PerSecond: 3}, {Target: "b", PerSecond: 3}, {Target: "c", PerSecond: 3}})
 	table.retain(targets)
 	targets[1].StartedAt = 2
 	table.retain(targets[:2])
--- a/controller/poll.go
+++ b/controller/poll.go
@@ -18,7 +18,7 @@
 	}
 	_, term := s.opts.Node.Leader(fleet.DocumentGroup)
 	s.hosts.recordPoll(term, req)
-	s.limits.report(clock.Now(), term, req.Host, req.Limits)
+	s.limits.report(clock.Now(), term, req.Limits)
 	state := s.opts.Document.Get()
 	reply := &fleet.PollReply{Version: state.Version, ZoneRevision: state.ZoneRevision}
 	if members := slices.Sorted(slices.Values(s.opts.Node.Members())); fleet.DigestStrings(members) != req.Members {
@@ -45,10 +45,10 @@
 	if reply.Targets != nil {
 		listDigest = reply.Targets.Digest
 	}
-	s.hosts.fillFleetState(req, listDigest, reply)
 	if index := s.hosts.targetIndex(listDigest); index != nil {
 		reply.Limits = s.limits.changeSince(clock.Now(), term, req.KnownVersions.Limits, index)
 	}
+	s.hosts.fillFleetState(req, listDigest, reply)
 	if req.WantPeers {
 		reply.Peers = s.hosts.peers(req.Host)
 	}
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -19,13 +19,18 @@
 )
 
 // LimitStatement is what a target has said about the number of requests per second that it takes
-// from all hosts together.
+// from all hosts together. It is encoded as an array, because every request to a limited target
+// sends some.
 type LimitStatement struct {
-	Target    string        `msgpack:"i"`
-	PerSecond float32       `msgpack:"p"`
-	Age       time.Duration `msgpack:"a"` // time since the target has said so
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // an instruction to the encoder
+	Target    string
+	PerSecond float32
+	AgeMs     uint32 // time since the target has said so, in ms
 }
 
+// Age returns the time since the target has said so.
+func (s *LimitStatement) Age() time.Duration { return time.Duration(s.AgeMs) * time.Millisecond }
+
 // LimitVersion identifies the statements that a host has received: all up to a revision of the
 // leader of a term.
 type LimitVersion struct {
@@ -114,9 +119,11 @@
 // PermitRequest asks the leader for the permit to send one request to one of several targets that
 // name a request limit.
 type PermitRequest struct {
-	Host string `msgpack:"h"`
-	// Candidates holds what the host knows of the targets' limits, in order of preference.
-	Candidates []LimitStatement `msgpack:"c"`
+	// Candidates holds the ids of the targets in order of preference.
+	Candidates []string `msgpack:"c"`
+	// Limits holds what the host knows of the candidates' limits, as far as the leader may not
+	// know it.
+	Limits []LimitStatement `msgpack:"l,omitempty"`
 	// MaxDelay is how far ahead the permit may be granted.
 	MaxDelay time.Duration `msgpack:"d,omitempty"`
 	// NoAlternative is set if the service has no other target for the request.
@@ -126,11 +133,12 @@
 // PermitReply answers a PermitRequest.
 type PermitReply struct {
 	// Granted is the position of the target in the candidates, counted from 1; 0: no permit.
-	Granted int `msgpack:"g"`
+	Granted int `msgpack:"g,omitempty"`
 	// Delay is the time after which the request may be sent.
 	Delay time.Duration `msgpack:"d,omitempty"`
-	// Waits holds, if no permit was granted, the times until the candidates have the next one.
-	Waits []time.Duration `msgpack:"w,omitempty"`
+	// WaitMs holds, if no permit was granted, the times until the candidates have the next one, in
+	// ms. It is empty if the leader knows the limit of none of them.
+	WaitMs []int `msgpack:"w,omitempty"`
 	// RetryAfter is the time after which the caller of a refused request should return. It is set
 	// if no permit was granted and there is no alternative.
 	RetryAfter time.Duration `msgpack:"r,omitempty"`
--- a/gateway/balance/choose.go
+++ b/gateway/balance/choose.go
@@ -210,8 +210,12 @@
 
 // rankedTargets returns the targets by descending rank for a key.
 func rankedTargets(key uint64, targets []*Target) []*Target {
+	ranks := make(map[*Target]uint64, len(targets))
+	for _, t := range targets {
+		ranks[t] = t.rank(key)
+	}
 	out := slices.Clone(targets)
-	slices.SortFunc(out, func(a, b *Target) int { return cmp.Compare(b.rank(key), a.rank(key)) })
+	slices.SortFunc(out, func(a, b *Target) int { return cmp.Compare(ranks[b], ranks[a]) })
 	return out
 }
 
--- a/gateway/balance/limit.go
+++ b/gateway/balance/limit.go
@@ -24,9 +24,13 @@
 	LimitedByShare
 )
 
-// maxPermitCandidates is the number of targets for which one permit is requested. With eight of
-// them, a free permit is found while most targets of a service have none.
-const maxPermitCandidates = 8
+// maxPermitCandidates is the number of targets for which one permit is requested if the service has
+// no others. With eight of them, a free permit is found while most targets have none.
+// maxPreferredCandidates is that number if the service has others.
+const (
+	maxPermitCandidates    = 8
+	maxPreferredCandidates = 4
+)
 
 // requestLimit is what the gateway knows of the request limit of a target.
 type requestLimit struct {
@@ -72,7 +76,8 @@
 
 // statement returns what the gateway knows, for the leader.
 func (t *Target) statement(now time.Duration) fleet.LimitStatement {
-	return fleet.LimitStatement{Target: t.ID, PerSecond: float32(t.limit.perSecond), Age: max(now-t.limit.statedAt, 0)}
+	age := min(max(now-t.limit.statedAt, 0).Milliseconds(), math.MaxUint32)
+	return fleet.LimitStatement{Target: t.ID, PerSecond: float32(t.limit.perSecond), AgeMs: uint32(age)}
 }
 
 // HearLimit records the request limit that a target has named in a response, or fleet.NoLimit if
@@ -97,6 +102,19 @@
 	return t.limit.active()
 }
 
+// CountLimited returns the number of targets that name a request limit.
+func (s *Set) CountLimited() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, t := range s.byID {
+		if t.limit.active() {
+			n++
+		}
+	}
+	return n
+}
+
 // UnreportedLimits returns up to n statements of targets that the leader may not know.
 func (s *Set) UnreportedLimits(now time.Duration, n int) []fleet.LimitStatement {
 	s.mu.Lock()
@@ -161,35 +179,39 @@
 	l.unreported = fleet.LimitCode(l.perSecond) != fleet.LimitCode(other.PerSecond)
 }
 
-// PermitCandidates returns the targets for which the gateway should request a permit, in order of
-// preference: none unless a limited target would be chosen if it had a permit, or unless there are
-// no others. alternatives tells whether there are others.
-func (s *Set) PermitCandidates(now time.Duration, c *Criteria) (statements []fleet.LimitStatement, alternatives bool) {
+// PermitCandidates returns the request for a permit that a request needs before it can be sent, with
+// the targets in order of preference. It returns nil unless a limited target would be chosen if it
+// had a permit, or unless there are no others.
+func (s *Set) PermitCandidates(now time.Duration, c *Criteria) *fleet.PermitRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	limited, ejected := s.limitedTargets(now, c)
 	if len(limited)+len(ejected) == 0 {
-		return nil, true
+		return nil
 	}
 	others, _ := s.eligible(now, c)
-	alternatives = len(others) > 0
-	if alternatives {
+	n := maxPermitCandidates
+	if len(others) > 0 {
 		limited = slices.DeleteFunc(limited, func(t *Target) bool { return t.limit.retryAt > now })
 		if len(limited) == 0 || !s.choose(now, c, append(others, limited...)).limit.active() {
-			return nil, true
+			return nil
+		}
+		n = maxPreferredCandidates
+		if c.Affinity != "" {
+			n = 1 // no other limited target has the prompt cached
 		}
 	}
 	if len(limited) == 0 {
 		limited = ejected
 	}
-	s.sortByPreference(now, c, limited)
-	if alternatives && c.Affinity != "" {
-		limited = limited[:1] // no other limited target has the prompt cached
-	}
-	for _, t := range limited[:min(len(limited), maxPermitCandidates)] {
-		statements = append(statements, t.statement(now))
+	req := &fleet.PermitRequest{NoAlternative: len(others) == 0}
+	for _, t := range preferredTargets(now, c, limited, n) {
+		req.Candidates = append(req.Candidates, t.ID)
+		if t.limit.unreported {
+			req.Limits = append(req.Limits, t.statement(now))
+		}
 	}
-	return statements, alternatives
+	return req
 }
 
 // limitedTargets returns the targets that name a request limit and may otherwise take the request,
@@ -209,26 +231,36 @@
 	return limited, ejected
 }
 
-// sortByPreference sorts targets in the order in which they should take a request: first those
-// that may have a permit, of these the ones that rank highest for the affinity key, or else the
-// cheapest, of those without a permit the ones that get it first. The caller holds mu.
-func (s *Set) sortByPreference(now time.Duration, c *Criteria, targets []*Target) {
-	key := xxhash.Sum64String(c.Affinity)
-	costs := map[*Target]float64{}
-	for _, t := range targets {
-		costs[t] = t.expectedCost(now)
+// preferredTargets returns up to n limited targets in the order in which they should take a request:
+// first those that may have a permit, then those that get one first; among equals the ones that rank
+// highest for the affinity key, or else the cheapest.
+func preferredTargets(now time.Duration, c *Criteria, targets []*Target, n int) []*Target {
+	type scored struct {
+		t     *Target
+		ready time.Duration // when the target may have a permit
+		rank  uint64
+		cost  float64
 	}
-	// Equal targets must not have the same order at all gateways.
-	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	slices.SortStableFunc(targets, func(a, b *Target) int {
-		if byWait := cmp.Compare(max(a.limit.retryAt, now), max(b.limit.retryAt, now)); byWait != 0 {
-			return byWait
-		}
+	key := xxhash.Sum64String(c.Affinity)
+	all := make([]scored, len(targets))
+	for i, t := range targets {
+		all[i] = scored{t: t, ready: max(t.limit.retryAt, now)}
 		if c.Affinity != "" {
-			return cmp.Compare(b.rank(key), a.rank(key))
+			all[i].rank = t.rank(key)
+		} else {
+			all[i].cost = t.expectedCost(now)
 		}
-		return cmp.Compare(costs[a], costs[b])
+	}
+	// Equal targets must not have the same order at all gateways.
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(a.ready, b.ready), cmp.Compare(b.rank, a.rank), cmp.Compare(a.cost, b.cost))
 	})
+	out := make([]*Target, min(n, len(all)))
+	for i := range out {
+		out[i] = all[i].t
+	}
+	return out
 }
 
 // AcquirePermitted counts a request as in flight at a target for which the leader has granted a
@@ -244,13 +276,13 @@
 	return t
 }
 
-// PermitDenied records how long the leader has no permits for targets.
-func (s *Set) PermitDenied(now time.Duration, statements []fleet.LimitStatement, waits []time.Duration) {
+// PermitDenied records how long the leader has no permits for the candidates of a request.
+func (s *Set) PermitDenied(now time.Duration, req *fleet.PermitRequest, reply *fleet.PermitReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i, wait := range waits[:min(len(waits), len(statements))] {
-		if t := s.byID[statements[i].Target]; t != nil {
-			t.limit.retryAt = now + wait
+	for i, ms := range reply.WaitMs[:min(len(reply.WaitMs), len(req.Candidates))] {
+		if t := s.byID[req.Candidates[i]]; t != nil {
+			t.limit.retryAt = now + time.Duration(ms)*time.Millisecond
 		}
 	}
 }
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -25,7 +25,7 @@
 	permitRetryPause = 50 * time.Millisecond
 	// maxLimitsPerPoll limits the statements of targets in one poll, so that a poll stays small when
 	// most targets of a large site name a limit at once.
-	maxLimitsPerPoll = 20
+	maxLimitsPerPoll = 10
 	// scarcityPeriod is the time after a refused permit for which a service takes no new programs.
 	scarcityPeriod = 500 * time.Millisecond
 )
@@ -63,13 +63,13 @@
 	until := clock.Now() + maxAdmissionWait(x.timeLeft(), true)
 	for {
 		c.Limited = balance.ExcludeLimited
-		candidates, alternatives := x.g.targets.PermitCandidates(clock.Now(), c)
-		if len(candidates) == 0 {
+		req := x.g.targets.PermitCandidates(clock.Now(), c)
+		if req == nil {
 			return x.acquireWithoutPermit(c)
 		}
-		reply, err := x.requestPermit(ctx, c, candidates, alternatives)
+		reply, err := x.requestPermit(ctx, c, req)
 		if err == nil {
-			return x.applyPermit(ctx, c, candidates, reply)
+			return x.applyPermit(ctx, c, req, reply)
 		}
 		c.Limited = balance.LimitedByShare
 		if t, err := x.acquireWithoutPermit(c); err == nil {
@@ -79,7 +79,7 @@
 			return nil, cutOffError()
 		}
 		if !x.g.config.leaderAbsent() || clock.Now() >= until || !sleep(ctx, permitRetryPause) {
-			return nil, errs.New(errs.Unavailable, "retry", "the leader that grants requests to limited targets does not respond: %v", err).WithRetryAfter(leaderAbsentRetryAfter)
+			return nil, errs.New(errs.Unavailable, "retry", "no permit for a target with a request limit: %v", err).WithRetryAfter(leaderAbsentRetryAfter)
 		}
 	}
 }
@@ -93,39 +93,43 @@
 	return t, nil
 }
 
-// requestPermit requests the permit for one request to one of the candidates.
-func (x *exchange) requestPermit(ctx context.Context, c *balance.Criteria, candidates []fleet.LimitStatement, alternatives bool) (*fleet.PermitReply, error) {
+// requestPermit sends the request for a permit to the leader. It fails if the leader does not respond
+// or does not know the limits yet.
+func (x *exchange) requestPermit(ctx context.Context, c *balance.Criteria, req *fleet.PermitRequest) (*fleet.PermitReply, error) {
 	if x.g.config.leaderAbsent() {
 		return nil, errs.New(errs.Unavailable, "retry", "no poll has been answered for %d ms", x.g.config.age().Milliseconds())
 	}
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
-	defer cancel()
-	x.g.metrics.permitsRequested.Inc(1)
-	req := &fleet.PermitRequest{Host: x.g.opts.Host, Candidates: candidates, NoAlternative: !alternatives}
 	switch {
-	case !alternatives:
+	case req.NoAlternative:
 		req.MaxDelay = maxPermitDelay
 	case c.Affinity != "":
 		req.MaxDelay = maxAffinityDelay
 	}
-	return x.g.opts.Client.Permit(ctx, req)
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	x.g.metrics.permitsRequested.Inc(1)
+	reply, err := x.g.opts.Client.Permit(ctx, req)
+	if err == nil && reply.Granted == 0 && len(reply.WaitMs) == 0 {
+		return nil, errs.New(errs.Unavailable, "retry", "the leader does not know the request limits yet")
+	}
+	return reply, err
 }
 
 // applyPermit acquires the target for which a permit was granted, if need be after the granted
 // delay. Without a permit it chooses a target without a limit or refuses the request.
-func (x *exchange) applyPermit(ctx context.Context, c *balance.Criteria, candidates []fleet.LimitStatement, reply *fleet.PermitReply) (*balance.Target, error) {
-	if i := reply.Granted; i > 0 && i <= len(candidates) {
+func (x *exchange) applyPermit(ctx context.Context, c *balance.Criteria, req *fleet.PermitRequest, reply *fleet.PermitReply) (*balance.Target, error) {
+	if i := reply.Granted; i > 0 && i <= len(req.Candidates) {
 		if !sleep(ctx, reply.Delay) {
 			return nil, errs.New(errs.Unavailable, "retry", "the request ended while it waited for a limited target").WithRetryAfter(noTargetRetryAfter)
 		}
-		if t := x.g.targets.AcquirePermitted(clock.Now(), candidates[i-1].Target); t != nil {
+		if t := x.g.targets.AcquirePermitted(clock.Now(), req.Candidates[i-1]); t != nil {
 			return t, nil
 		}
 		return x.acquireWithoutPermit(c)
 	}
 	x.g.metrics.permitsDenied.Inc(1)
-	x.g.targets.PermitDenied(clock.Now(), candidates, reply.Waits)
-	if reply.RetryAfter == 0 {
+	x.g.targets.PermitDenied(clock.Now(), req, reply)
+	if !req.NoAlternative {
 		return x.acquireWithoutPermit(c)
 	}
 	x.g.permits.setScarce(c.Service)
