--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -155,6 +155,10 @@
 	case reply.Granted > 0:
 		s.pending = append(s.pending, permittedRequest{s.now + reply.Delay, g, req.Candidates[reply.Granted-1]})
 		return true
+	case len(reply.WaitMs) == 0 && len(req.Limits) == 0:
+		g.set.ReportLimits(req.Candidates)
+		next := g.set.PermitCandidates(s.now, c)
+		return next != nil && s.requestPermit(g, c, next)
 	case len(reply.WaitMs) == 0:
 		c.Limited = balance.LimitedByShare
 		return false
@@ -365,3 +369,19 @@
 	g.Expect(limits).To(HaveLen(1))
 	g.Expect(limits[0].Index).To(Equal(0))
 }
+
+// Measures one request for a permit at the leader, with 2,800 targets that all name a limit.
+func BenchmarkPermit(b *testing.B) {
+	table := &limitTable{log: logr.Discard()}
+	ids := make([]string, 2800)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("i-%08x", i)
+		table.report(0, 1, []fleet.LimitStatement{{Target: ids[i], PerSecond: 0.5}})
+	}
+	now := time.Second
+	for i := 0; b.Loop(); i++ {
+		first := i * 8 % len(ids)
+		now += time.Millisecond / 3
+		table.permit(now, 1, &fleet.PermitRequest{Candidates: ids[first : first+8], NoAlternative: true})
+	}
+}
--- a/gateway/balance/limit.go
+++ b/gateway/balance/limit.go
@@ -153,6 +153,17 @@
 	}
 }
 
+// ReportLimits makes UnreportedLimits and PermitCandidates return the statements of targets again.
+func (s *Set) ReportLimits(ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ids {
+		if t := s.byID[id]; t != nil {
+			t.limit.unreported = t.limit.stated
+		}
+	}
+}
+
 // ApplyLimits merges statements that other gateways have reported. It returns false if they don't
 // match the list of targets.
 func (s *Set) ApplyLimits(now time.Duration, limits []fleet.Limit) bool {
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/fleet"
 	"github.com/figlb/figlb/gateway/balance"
@@ -36,32 +38,44 @@
 type permits struct {
 	g *Gateway
 
-	mu          sync.Mutex
-	scarceUntil map[string]time.Duration // by service
+	mu       sync.Mutex
+	scarcity map[string]scarcity // by service
+}
+
+// scarcity is the last refusal of a request because all targets of its service name a limit.
+type scarcity struct {
+	refusedAt  time.Duration
+	retryAfter time.Duration
 }
 
 func newPermits(g *Gateway) *permits {
-	return &permits{g: g, scarceUntil: map[string]time.Duration{}}
+	return &permits{g: g, scarcity: map[string]scarcity{}}
 }
 
-// scarceFor returns how long a service has no permits for new programs.
+// scarceFor returns the time after which a new program of a service should try again, or 0 if there
+// are permits for new programs.
 func (p *permits) scarceFor(service string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(p.scarceUntil[service]-clock.Now(), 0)
+	last, refused := p.scarcity[service]
+	elapsed := clock.Now() - last.refusedAt
+	if !refused || elapsed >= scarcityPeriod {
+		return 0
+	}
+	return max(scarcityPeriod, last.retryAfter) - elapsed
 }
 
-func (p *permits) setScarce(service string) {
+func (p *permits) setScarce(service string, retryAfter time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.scarceUntil[service] = clock.Now() + scarcityPeriod
+	p.scarcity[service] = scarcity{refusedAt: clock.Now(), retryAfter: retryAfter}
 }
 
 // acquire chooses a target and counts the request as in flight there. It fails if no target may
 // take the request now.
 func (x *exchange) acquire(ctx context.Context, c *balance.Criteria) (*balance.Target, error) {
 	until := clock.Now() + maxAdmissionWait(x.timeLeft(), true)
-	for {
+	for limitsSent := false; ; {
 		c.Limited = balance.ExcludeLimited
 		req := x.g.targets.PermitCandidates(clock.Now(), c)
 		if req == nil {
@@ -71,6 +85,11 @@
 		if err == nil {
 			return x.applyPermit(ctx, c, req, reply)
 		}
+		if errors.Is(err, errLimitsUnknown) && !limitsSent {
+			x.g.targets.ReportLimits(req.Candidates)
+			limitsSent = true
+			continue
+		}
 		c.Limited = balance.LimitedByShare
 		if t, err := x.acquireWithoutPermit(c); err == nil {
 			return t, nil
@@ -93,8 +112,12 @@
 	return t, nil
 }
 
-// requestPermit sends the request for a permit to the leader. It fails if the leader does not respond
-// or does not know the limits yet.
+// errLimitsUnknown is returned if the leader does not know the limits of the candidates, as may be
+// after its election.
+var errLimitsUnknown = errors.New("the leader does not know the request limits of the targets")
+
+// requestPermit sends the request for a permit to the leader. It fails if the leader does not respond,
+// and with errLimitsUnknown.
 func (x *exchange) requestPermit(ctx context.Context, c *balance.Criteria, req *fleet.PermitRequest) (*fleet.PermitReply, error) {
 	if x.g.config.leaderAbsent() {
 		return nil, errs.New(errs.Unavailable, "retry", "no poll has been answered for %d ms", x.g.config.age().Milliseconds())
@@ -110,7 +133,7 @@
 	x.g.metrics.permitsRequested.Inc(1)
 	reply, err := x.g.opts.Client.Permit(ctx, req)
 	if err == nil && reply.Granted == 0 && len(reply.WaitMs) == 0 {
-		return nil, errs.New(errs.Unavailable, "retry", "the leader does not know the request limits yet")
+		return nil, errLimitsUnknown
 	}
 	return reply, err
 }
@@ -132,7 +155,7 @@
 	if !req.NoAlternative {
 		return x.acquireWithoutPermit(c)
 	}
-	x.g.permits.setScarce(c.Service)
+	x.g.permits.setScarce(c.Service, reply.RetryAfter)
 	return nil, targetsLimitedError(c.Service, reply.RetryAfter)
 }
 
