--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -22,7 +22,8 @@
 // from all hosts together. It is encoded as an array, because every request to a limited target
 // sends some.
 type LimitStatement struct {
-	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // an instruction to the encoder
+	//lint:ignore U1000 an instruction to the encoder, which finds the field by its name
+	_msgpack  struct{} `msgpack:",as_array"`
 	Target    string
 	PerSecond float32
 	AgeMs     uint32 // time since the target has said so, in ms
