Tests of endless responses count what figlb holds, not what the kernel and the stand-in hold

Cause, as traced before: the first counts the bytes that the stand-in could write, and the kernel takes up to 4 MiB of them on the sender's side unread.

The bounds are as they were and are met with less of the slack hidden in them, so the tests are as strict.

--- a/gateway/upstream/bounds_test.go
+++ b/gateway/upstream/bounds_test.go
@@ -17,6 +17,9 @@
 	"github.com/pkg/errors"
 )
 
+// sendBuffer is the size of the kernel's send buffer of a stand-in target's connection.
+const sendBuffer = 64 << 10
+
 // startTarget starts a listener that runs serve for each connection. It returns the address.
 func startTarget(t *testing.T, serve func(c net.Conn, br *bufio.Reader)) string {
 	t.Helper()
@@ -31,6 +34,8 @@
 			if err != nil {
 				return
 			}
+			// Otherwise the kernel buffers up to 4 MiB that the other side has not read.
+			_ = c.(*net.TCPConn).SetWriteBuffer(sendBuffer) // a larger buffer only makes tests stricter
 			go func() {
 				defer func() { _ = c.Close() }()
 				serve(c, bufio.NewReader(c))
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,19 +5,20 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-# The tests listed in KNOWN-RED.txt: subtests of package gateway/upstream and specs of the
-# platform suite.
-red_subtests='^TestUnboundedResponses$/^(endless_header_lines|endless_chunks_of_another_response)$'
-red_specs='limits the memory and time spent on endless responses in a body with(out)? a length'
+# Patterns of the tests that CI passes over, as listed in KNOWN-RED.txt: specs of the platform
+# suite, and tests of all other packages with the package to run them in. Empty: none.
+red_specs=''
+red_tests=''
+red_package=''
 
 # The end-to-end tests measure times across several processes, so they do not run concurrently
 # with the other tests. Package platform needs a flag that other packages do not accept, so it
 # has its own command, which runs concurrently with the other packages.
 platform_log=$(mktemp)
 trap 'rm -f "$platform_log"' EXIT
-go test -race -timeout 8m ./platform -ginkgo.skip "$red_specs" >"$platform_log" 2>&1 &
+go test -race -timeout 8m ./platform ${red_specs:+-ginkgo.skip "$red_specs"} >"$platform_log" 2>&1 &
 platform=$!
-go test -race -timeout 8m -skip "$red_subtests" $(go list ./... | grep -v -e /test/e2e -e '/platform$') || failed=1
+go test -race -timeout 8m ${red_tests:+-skip "$red_tests"} $(go list ./... | grep -v -e /test/e2e -e '/platform$') || failed=1
 wait "$platform" || failed=1
 cat "$platform_log"
 [ -z "${failed:-}" ] || exit 1
@@ -26,6 +27,11 @@
 go test ./gateway/upstream -run "^$" -fuzz FuzzReadAnswer -fuzztime 5s
 go tool ginkgo -procs=4 --no-color --timeout 8m ./test/e2e
 
-echo "tests of KNOWN-RED.txt:"
-go test -race ./gateway/upstream -v -run "$red_subtests" || echo "known to fail: subtests of gateway/upstream"
-go test -race ./platform -ginkgo.focus "$red_specs" || echo "known to fail: specs of platform"
+if [ -n "$red_tests" ]; then
+	echo "tests of KNOWN-RED.txt:"
+	go test -race "$red_package" -v -run "$red_tests" || echo "known to fail: tests of $red_package"
+fi
+if [ -n "$red_specs" ]; then
+	echo "specs of KNOWN-RED.txt:"
+	go test -race ./platform -ginkgo.focus "$red_specs" || echo "known to fail: specs of platform"
+fi
