--- a/sched/fair.go
+++ b/sched/fair.go
@@ -100,7 +100,7 @@
 // that no free target may serve are skipped; those for which it is better to wait for a full
 // target with their prompt in its cache are parked.
 func (p *Fair) searchOrg(v *View, o *Org) (Decision, bool) {
-	defer p.restoreSkipped(o)
+	defer p.restoreSkipped(v, o)
 	n := p.admittedBands(v, o)
 	for r := o.firstDue(n); r != nil; r = o.firstDue(n) {
 		d, wait := p.chooseTarget(v, r)
@@ -117,10 +117,11 @@
 	return Decision{}, false
 }
 
-// restoreSkipped returns the skipped requests to the organisation's heaps.
-func (p *Fair) restoreSkipped(o *Org) {
+// restoreSkipped returns the skipped requests to the organisation's heaps. The organisation may have
+// left the active ones meanwhile, if its last other request was parked.
+func (p *Fair) restoreSkipped(v *View, o *Org) {
 	for _, r := range p.skipped {
-		heap.Push(&o.waiting[r.band()], r)
+		v.Queue.addReady(o, r)
 	}
 	p.skipped = p.skipped[:0]
 }
--- a/sched/fair_test.go
+++ b/sched/fair_test.go
@@ -120,6 +120,28 @@
 		Expect(p.assignNext().Target.Name).To(Equal("t0"))
 	})
 
+	// Guards against a panic at the removal of a request, and against an organisation that is left out
+	// until its next request arrives, after one of its requests was skipped and the other was parked.
+	Context("and the organisation's other request was skipped", func() {
+		var skipped *Request
+		BeforeEach(func() {
+			skipped = p.enqueue(structs.AssignRequest{ID: "skipped", Org: "o", Turn: 2, Exclude: []string{"t0"}})
+			Expect(p.assignNext()).To(BeNil())
+			Expect(firstParked(p)).NotTo(BeNil())
+		})
+
+		It("lets the skipped request be removed", func() {
+			p.Remove(skipped)
+			Expect(p.QueueLen()).To(Equal(1))
+		})
+
+		It("assigns the skipped request as soon as its target has a free slot", func() {
+			p.Remove(firstParked(p))
+			p.finish(running, structs.OutcomeOK)
+			Expect(p.assignNext().Request).To(Equal("skipped"))
+		})
+	})
+
 	It("ends when the request is cancelled", func() {
 		Expect(p.assignNext()).To(BeNil())
 		p.Remove(firstParked(p))
