--- a/declare/check.go
+++ b/declare/check.go
@@ -47,11 +47,15 @@
 		d.report(inifile.Problem{File: "overlay", Section: "site", Message: "section is missing", Remedy: "add [site] with a name"})
 		return
 	}
+	site := d.sites[0]
+	if site.Name != "" {
+		d.report(site.Problem("", "section has a name", "write [site] and a key name"))
+	}
 	if n := d.decl.Site.Name; n != "" && !validName.MatchString(n) {
-		d.reportAt("site", "name", fmt.Sprintf("name %q is not valid", n), "use lower-case letters, digits, dots and hyphens")
+		d.report(site.Problem("name", fmt.Sprintf("name %q is not valid", n), "use lower-case letters, digits, dots and hyphens"))
 	}
 	if len(d.decl.Zones) == 0 {
-		d.reportAt("site", "", "the site has no availability zone", "add a [zone NAME] section")
+		d.report(site.Problem("", "the site has no availability zone", "add a [zone NAME] section"))
 	}
 }
 
--- a/declare/declare_test.go
+++ b/declare/declare_test.go
@@ -1,6 +1,7 @@
 package declare_test
 
 import (
+	"strings"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -116,6 +117,12 @@
 		Entry("a name that is not valid", base, overlay+"[zone B_1]\n", "is not valid"),
 		Entry("a host in the base file", base+"[host h9]\nzone = a\n", overlay, "move it to the site's overlay"),
 		Entry("a missing site section", base, "[zone a]\n", "[site] section is missing"),
+		Entry("a section without a name", base, overlay+"[service]\nprefix = /x\n", `[service] name "" is not valid`),
+		Entry("a site with a name in its header", base, strings.Replace(overlay, "[site]", "[site x]", 1), "[site x] section has a name; write [site] and a key name"),
+		Entry("a site with a name in its header and no availability zone", base, "[site x]\nname = test\n", "[site x] section has a name", "has no availability zone"),
+		Entry("a site with an invalid name in a section with a name", base, "[site x]\nname = A\n[zone a]\n", `name "A" is not valid`),
+		Entry("an invalid key of a base section that the overlay extends", "[organisation b]\nrate = 20\nburst = 1\n", overlay+"[organisation b]\nburst = 2\n", "base.ini:2: [organisation b] rate"),
+		Entry("an invalid key of the overlay in such a section", "[organisation b]\nrate = 20/s\nburst = 1\n", "[site]\nname = x\n[zone a]\n[organisation b]\nburst = 0\n", "site.ini:5: [organisation b] burst"),
 		Entry("interpolation, which is taken literally", base+"[organisation b]\nrate = %(burst)s\nburst = 1\n", overlay, `"%(burst)s" is not a rate`),
 	)
 
@@ -137,3 +144,16 @@
 		Expect(declare.Diff(to, from)).To(ContainElement(declare.Change{Action: declare.ActionRemove, Kind: structs.KindZone, Name: "b"}))
 	})
 })
+
+// Guards against declarations that end the process instead of being refused.
+func FuzzParse(f *testing.F) {
+	f.Add(base, overlay)
+	f.Add(base, "[site x]\nname = test\n")
+	f.Add("[service s]\nprefix = /s\n", "[site]\n[service s]\nmodel = m\n")
+	f.Fuzz(func(t *testing.T, base, overlay string) {
+		d, err := parse(base, overlay)
+		if (d == nil) == (err == nil) {
+			t.Fatalf("declaration %v and error %v", d, err)
+		}
+	})
+}
--- a/declare/decode.go
+++ b/declare/decode.go
@@ -98,6 +98,9 @@
 		d.report(s.Problem("", fmt.Sprintf("name %q is not valid", s.Name),
 			"use up to 63 lower-case letters, digits, dots and hyphens, beginning and ending with a letter or digit"))
 	}
+	if s.Name == "" {
+		return // the checks find sections by kind and name
+	}
 	decode(d, s)
 }
 
--- a/declare/load.go
+++ b/declare/load.go
@@ -85,8 +85,8 @@
 }
 
 // overrideKeys returns the base section with the keys of the overlay's section in place of
-// its own. The result has the file and line of the overlay's section; keys that come from
-// the base keep their line numbers there.
+// its own. The result has the file and line of the overlay's section; its keys keep those of
+// their own files.
 func overrideKeys(base, overlay *inifile.Section) *inifile.Section {
 	merged := &inifile.Section{File: overlay.File, Line: overlay.Line, Kind: base.Kind, Name: base.Name}
 	for _, k := range base.Keys {
--- a/inifile/file.go
+++ b/inifile/file.go
@@ -8,10 +8,12 @@
 	"gopkg.in/ini.v1"
 )
 
-// Key is a key of a section with its value and line.
+// Key is a key of a section with its value and its place. The file may differ from that of the
+// section, if the sections of two files were merged.
 type Key struct {
 	Name  string
 	Value string
+	File  string
 	Line  int
 }
 
@@ -36,13 +38,13 @@
 // section does not have, it points at the section header; for a repeated key, at the last
 // occurrence.
 func (s *Section) Problem(key, message, remedy string) Problem {
-	line := s.Line
+	file, line := s.File, s.Line
 	for _, k := range s.Keys {
 		if k.Name == key {
-			line = k.Line
+			file, line = k.File, k.Line
 		}
 	}
-	return Problem{File: s.File, Line: line, Section: s.Header(), Key: key, Message: message, Remedy: remedy}
+	return Problem{File: file, Line: line, Section: s.Header(), Key: key, Message: message, Remedy: remedy}
 }
 
 // Get returns the value of a key and whether the key is present. For a repeated key it
@@ -135,7 +137,7 @@
 	out.Line = pos.headerLine
 	for _, k := range s.Keys() {
 		for i, v := range k.ValueWithShadows() {
-			key := Key{Name: k.Name(), Value: v}
+			key := Key{Name: k.Name(), Value: v, File: file}
 			if numbers := pos.keyLines[k.Name()]; i < len(numbers) {
 				key.Line = numbers[i]
 			}
