--- a/engine/plain.go
+++ b/engine/plain.go
@@ -23,7 +23,7 @@
 	Method    string
 	// URI is the path with the query string.
 	URI string
-	// Header must not be nil. It is not modified.
+	// Header may be nil. It is not modified.
 	Header http.Header
 	Body   []byte
 	// Timeout is the timeout for the whole request, including the response body.
@@ -53,6 +53,9 @@
 	defer cancel(nil)
 	start := time.Now()
 	header := req.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
 	header.Set(HeaderRequestID, req.RequestID)
 	x, err := newExchange(ctx, req.Method, "http://"+req.Address+req.URI, header, req.Body)
 	if err != nil {
