gateway: the memory of refused permits as a type of its own

Read as a newcomer: permits claimed to decide about requests and only remembered refusals, and kept a gateway that it did not use. It is permitScarcity now, with a clock passed in; what it does is as before. pollsize_test.go is formatted.

--- a/controller/pollsize_test.go
+++ b/controller/pollsize_test.go
@@ -125,7 +125,7 @@
 		gateways, targets    = 74, 2800
 		heardByGateway       = 8
 		pollsPerSecond       = 5
-		requestsPerFivePolls = 8 // of one gateway
+		requestsPerFivePolls = 8    // of one gateway
 		otherBytesPerSecond  = 3000 // calls for rates and to the ledger, as docs/CAPACITY.md has them
 		maxBytesPerSecond    = 11_000 - otherBytesPerSecond
 		maxSpread            = 4 * time.Second
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,7 +36,7 @@
 	leaderContact *leaderContact
 	targets       *balance.Set
 	admissions    *admission
-	permits       *permits
+	scarcity      permitScarcity
 	settler       *settler
 	crashes       crashReports
 	latencies     latencyBaselines
@@ -65,7 +65,6 @@
 	g.config = &follower{g: g, startedAt: clock.Now(), ready: make(chan struct{})}
 	g.leaderContact = &leaderContact{g: g}
 	g.admissions = newAdmission(g)
-	g.permits = newPermits(g)
 	g.settler = newSettler(g)
 	g.wg.Go(func() { g.config.run(g.ctx) })
 	g.wg.Go(func() { g.leaderContact.run(g.ctx) })
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -56,7 +56,7 @@
 		return nil
 	}
 	service := x.service()
-	if wait := x.g.permits.scarceFor(service); wait > 0 && !x.programBegun(ctx) {
+	if wait := x.g.scarcity.newProgramWait(clock.Now(), service); wait > 0 && !x.programBegun(ctx) {
 		return targetsLimitedError(service, wait)
 	}
 	slotShare := x.g.targets.Utilisation(clock.Now(), service)
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -32,43 +32,41 @@
 	scarcityPeriod = 500 * time.Millisecond
 )
 
-// permits decides which requests are sent to targets that name a request limit. Each such request
-// needs a permit of the leader, which counts the requests of all gateways. While the leader does
-// not respond, a gateway uses its share of each limit.
-type permits struct {
-	g *Gateway
-
-	mu       sync.Mutex
-	scarcity map[string]scarcity // by service
+// Requests to targets that name a request limit need a permit of the leader, which counts the requests
+// of all gateways. While the leader does not respond, a gateway uses its share of each limit.
+
+// permitScarcity remembers for which services requests were refused lately because all targets name a
+// request limit.
+type permitScarcity struct {
+	mu        sync.Mutex
+	byService map[string]refusedPermit
 }
 
-// scarcity is the last refusal of a request because all targets of its service name a limit.
-type scarcity struct {
-	refusedAt  time.Duration
+// refusedPermit is the last refusal of a request to a service.
+type refusedPermit struct {
+	at         time.Duration
 	retryAfter time.Duration
 }
 
-func newPermits(g *Gateway) *permits {
-	return &permits{g: g, scarcity: map[string]scarcity{}}
-}
-
-// scarceFor returns the time after which a new program of a service should try again, or 0 if there
-// are permits for new programs.
-func (p *permits) scarceFor(service string) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	last, refused := p.scarcity[service]
-	elapsed := clock.Now() - last.refusedAt
-	if !refused || elapsed >= scarcityPeriod {
+// newProgramWait returns the time after which a new program of a service should try again, or 0 if
+// there are permits for new programs.
+func (s *permitScarcity) newProgramWait(now time.Duration, service string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last, refused := s.byService[service]
+	if !refused || now-last.at >= scarcityPeriod {
 		return 0
 	}
-	return max(scarcityPeriod, last.retryAfter) - elapsed
+	return max(scarcityPeriod, last.retryAfter) - (now - last.at)
 }
 
-func (p *permits) setScarce(service string, retryAfter time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.scarcity[service] = scarcity{refusedAt: clock.Now(), retryAfter: retryAfter}
+func (s *permitScarcity) recordRefusal(now time.Duration, service string, retryAfter time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byService == nil {
+		s.byService = map[string]refusedPermit{}
+	}
+	s.byService[service] = refusedPermit{at: now, retryAfter: retryAfter}
 }
 
 // acquire chooses a target and counts the request as in flight there. It fails if no target may
@@ -155,7 +153,7 @@
 	if !req.NoAlternative {
 		return x.acquireWithoutPermit(c)
 	}
-	x.g.permits.setScarce(c.Service, reply.RetryAfter)
+	x.g.scarcity.recordRefusal(clock.Now(), c.Service, reply.RetryAfter)
 	return nil, targetsLimitedError(c.Service, reply.RetryAfter)
 }
 
