--- a/controller/poll.go
+++ b/controller/poll.go
@@ -46,7 +46,7 @@
 		listDigest = reply.Targets.Digest
 	}
 	if index := s.hosts.targetIndex(listDigest); index != nil {
-		reply.Limits = s.limits.changeSince(clock.Now(), term, req.KnownVersions.Limits, index)
+		reply.Limits = s.limits.changeSince(clock.Now(), term, req.KnownVersions.LimitVersion, index)
 	}
 	s.hosts.fillFleetState(req, listDigest, reply)
 	if req.WantPeers {
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -66,8 +66,8 @@
 	Targets      uint64 `msgpack:"t"` // digest of the list of targets
 	Members      uint64 `msgpack:"p"` // digest of the members' addresses
 	Blocked      uint64 `msgpack:"b"` // digest of the blocked requests
-	// Limits identifies the statements about request limits.
-	Limits LimitVersion `msgpack:"lv"`
+	// LimitVersion identifies the statements about request limits.
+	LimitVersion LimitVersion `msgpack:"lv"`
 }
 
 // Update records what a reply has brought up to date. The host itself updates Version and
@@ -83,7 +83,7 @@
 		h.Blocked = DigestNumbers(reply.Blocked)
 	}
 	if reply.Limits != nil {
-		h.Limits = reply.Limits.Version
+		h.LimitVersion = reply.Limits.Version
 	}
 }
 
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -234,7 +234,7 @@
 		f.known.Targets = 0
 	}
 	if !f.applyLimits(req, reply.Limits) {
-		f.known.Limits = fleet.LimitVersion{} // requests all of them again
+		f.known.LimitVersion = fleet.LimitVersion{} // requests all of them again
 	}
 	g.targets.UpdateLimitWeights(clock.Now())
 	g.targets.SetZoneFailureRates(reply.FailurePercent)
@@ -263,7 +263,7 @@
 		g.log.Error(err, "cannot decode the request limits of targets; keeping the previous ones")
 		return false
 	}
-	if change.Version.Term != req.KnownVersions.Limits.Term {
+	if change.Version.Term != req.KnownVersions.LimitVersion.Term {
 		g.targets.ReportAllLimits()
 	}
 	if !g.targets.ApplyLimits(clock.Now(), limits) {
