--- a/review/site/replica.go
+++ b/review/site/replica.go
@@ -274,13 +274,14 @@
 
 // stream sends a chunked stream of events and then closes the channel.
 func (t *Replica) stream(ctx context.Context, c net.Conn, r *http.Request, id string) {
-	for i := range t.Events {
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if the stream is not resumed
+	for i := first; i < t.Events; i++ {
 		if !sleep(ctx, t.Work(r)) {
 			t.Record.Printf("%s: the channel of stream %s is closed after %d events", t.ID, id, i)
 			return
 		}
 		text := ""
-		if i == 0 {
+		if i == first {
 			text = fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: sig-%s\r\nInstance-Id: %s\r\n"+
 				"Content-Type: text/event-stream\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n", id, id, t.ID)
 		}
