--- a/review/site/record.go
+++ b/review/site/record.go
@@ -30,5 +30,8 @@
 	_, _ = fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// NewRecordTo returns a record that is written to an open file.
+func NewRecordTo(f *os.File) *Record { return &Record{file: f, start: time.Now()} }
+
 // Close closes the file.
 func (r *Record) Close() { _ = r.file.Close() }
--- a/review/site/replica.go
+++ b/review/site/replica.go
@@ -56,8 +56,11 @@
 	Work func(*http.Request) time.Duration
 	// Events is the number of events of a stream; 0: the replica sends plain answers.
 	Events int
-	Runs   *Runs
-	Record *Record
+	// Unframed makes streams have no length: they end with their channel. Each event is sent in two
+	// parts, with half of Work between them.
+	Unframed bool
+	Runs     *Runs
+	Record   *Record
 	// CopyLate chooses the answers of which an extra copy arrives late, where the next answer on the
 	// channel is expected. It may be nil.
 	CopyLate func(status int) bool
@@ -217,7 +220,11 @@
 		t.crash()
 		return 0, ""
 	}
-	if t.Events > 0 {
+	switch {
+	case t.Events > 0 && t.Unframed:
+		t.streamUnframed(ctx, c, r, id)
+		return 0, ""
+	case t.Events > 0:
 		t.stream(ctx, c, r, id)
 		return 0, ""
 	}
@@ -295,6 +302,27 @@
 	t.Record.Printf("%s: stream %s is complete", t.ID, id)
 }
 
+// streamUnframed sends a stream that ends with its channel.
+func (t *Replica) streamUnframed(ctx context.Context, c net.Conn, r *http.Request, id string) {
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: sig-%s\r\nInstance-Id: %s\r\n"+
+		"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n", id, id, t.ID)
+	for i := range t.Events {
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, EventData(id, i))
+		half := len(event) / 2
+		for _, part := range []string{text + event[:half], event[half:]} {
+			if !sleep(ctx, t.Work(r)/2) {
+				t.Record.Printf("%s: the channel of stream %s is closed after %d events", t.ID, id, i)
+				return
+			}
+			if _, err := io.WriteString(c, part); err != nil {
+				return
+			}
+		}
+		text = ""
+	}
+	t.Record.Printf("%s: stream %s is complete", t.ID, id)
+}
+
 // EventData returns the data of event i of the stream of a turn.
 func EventData(id string, i int) string { return fmt.Sprintf("%s-%d", id, i) }
 
