--- a/review/site/replica.go
+++ b/review/site/replica.go
@@ -73,7 +73,6 @@
 	mu      sync.Mutex
 	ln      net.Listener
 	conns   map[net.Conn]bool
-	running int
 	waiting int
 	crashes int
 	free    chan struct{}
