upstream: a fast response no longer costs the connection

Cause: the request was written by a goroutine, and Finish closed the connection when the response had been read before that goroutine had said that the whole request was written. Change: requests up to 8 KiB are written before the response is read; the send buffer of a connection without an unanswered request takes them. Longer ones are written as before, since a target may respond before it has read all of them.

--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -162,14 +162,7 @@
 		return nil, errors.Wrap(ErrNotSent, "the target closed the new connection")
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	written := make(chan struct{})
-	go func() {
-		// A failed write is not reported here: either no response can be read, or the target
-		// responded early, and Finish closes the connection as written is still open.
-		if c.write(encodeHead(req), req.Body) == nil {
-			close(written)
-		}
-	}()
+	written := c.send(req)
 	resp, err := c.readResponse(req)
 	if err != nil {
 		stop()
@@ -179,6 +172,30 @@
 	return &Response{Response: resp, pool: p, conn: c, written: written, stop: stop}, nil
 }
 
+// maxDirectWriteBytes is the size up to which a request is written before its response is read. The
+// empty send buffer of a connection without an unanswered request takes it at once.
+const maxDirectWriteBytes = 8 << 10
+
+// send writes a request, a long one concurrently, because the target may respond before it has read
+// all of it. The returned channel is closed once the whole request has been written. A failed write
+// is not reported: either no response can be read, or the target responded early, and Finish closes
+// the connection as the channel is still open.
+func (c *conn) send(req *Request) (written chan struct{}) {
+	written = make(chan struct{})
+	head := encodeHead(req)
+	write := func() {
+		if c.write(head, req.Body) == nil {
+			close(written)
+		}
+	}
+	if len(head)+len(req.Body) <= maxDirectWriteBytes {
+		write()
+	} else {
+		go write()
+	}
+	return written
+}
+
 // encodeHead returns the request line and the header.
 func encodeHead(req *Request) []byte {
 	var b bytes.Buffer
--- a/gateway/upstream/pool_test.go
+++ b/gateway/upstream/pool_test.go
@@ -1,7 +1,11 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -31,3 +35,25 @@
 	close(release)
 	g.Eventually(ended, time.Second).Should(Receive(MatchError(ErrFull)))
 }
+
+// Guards against closing the connection of a target that responds at once: the response could be
+// read before it was known that the whole request had been written.
+func TestFastResponsesKeepTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	pool := newTestPool(startTarget(t, func(c net.Conn, br *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for range 500 {
+		response, err := pool.Do(ctx, newRequest())
+		g.Expect(err).NotTo(HaveOccurred())
+		response.Discard()
+	}
+	g.Expect(pool.Dialed.Load()).To(BeEquivalentTo(1))
+}
