--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/gateway/upstream"
 	"github.com/figlb/figlb/internal/clock"
 	"github.com/figlb/figlb/routing"
 )
@@ -31,7 +32,8 @@
 	deadline time.Duration
 	reserved bool     // tokens of the program's budget are reserved in the ledger
 	targets  []string // ids of the targets that were tried, in order
-	status   int      // of the complete response; 0: none or an incomplete one; -1: an error of figlb
+	carriers upstream.Carriers
+	status   int // of the complete response; 0: none or an incomplete one; -1: an error of figlb
 	note     string
 }
 
@@ -216,7 +218,7 @@
 	x.g.metrics.latency.Update(took.Microseconds())
 	if err == nil {
 		x.g.metrics.served.Inc(1)
-		if x.g.metrics.logsServed() {
+		if x.g.metrics.servedLines.allow() {
 			x.g.log.Info("request served", x.logFields(took)...)
 		}
 		return
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -127,7 +127,10 @@
 	}
 	if a.NotRun {
 		resp.Discard()
-		x.g.log.V(1).Info("target refused", "request", x.req.ID, "target", t.ID, "status", resp.StatusCode, "misdirected", a.Misdirected)
+		if x.g.metrics.refusalLines.allow() {
+			x.g.log.Info("target refused", "request", x.req.ID, "target", t.ID, "status", resp.StatusCode, "misdirected", a.Misdirected,
+				"send", len(x.targets), "connection", resp.Connection(), "after_ms", (clock.Now() - sent).Milliseconds())
+		}
 		if a.Misdirected {
 			x.observe(t, &balance.Outcome{Failed: true, Load: -1})
 		}
@@ -162,6 +165,7 @@
 			return id == "" || id == x.req.ID
 		},
 		Unidentified: func(h http.Header) bool { return x.responseRequestID(h) == "" },
+		Carriers:     &x.carriers,
 	}
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -22,10 +22,9 @@
 	// permitsRequested and permitsDenied count requests for permits to use such targets.
 	permitsRequested, permitsDenied metrics.Counter
 	latency                         metrics.Histogram // in microseconds
-	// logSecond is the current second of the clock, and logLines counts the log lines of served
-	// requests in it.
-	logSecond atomic.Int64
-	logLines  atomic.Int64
+	// servedLines and refusalLines bound the log lines of served requests and of refusals of
+	// targets.
+	servedLines, refusalLines lineLimiter
 }
 
 const (
@@ -33,8 +32,8 @@
 	// reservoir, with the usual values for exponentially decaying samples.
 	latencySamples = 1028
 	latencyDecay   = 0.015
-	// maxServedLinesPerSecond bounds the log lines of served requests.
-	maxServedLinesPerSecond = 50
+	// maxLinesPerSecond bounds the log lines of each kind that a lineLimiter limits.
+	maxLinesPerSecond = 50
 )
 
 func newMetrics(r metrics.Registry) *gatewayMetrics {
@@ -58,11 +57,17 @@
 	return metrics.GetOrRegisterCounter("gateway.failed."+code, m.registry)
 }
 
-// logsServed reports whether the next served request is logged.
-func (m *gatewayMetrics) logsServed() bool {
+// lineLimiter bounds the log lines of one kind to maxLinesPerSecond. It is safe for concurrent use.
+type lineLimiter struct {
+	second atomic.Int64 // of the clock
+	lines  atomic.Int64 // in that second
+}
+
+// allow reports whether the next line is written.
+func (l *lineLimiter) allow() bool {
 	now := int64(clock.Now().Seconds())
-	if m.logSecond.Swap(now) != now {
-		m.logLines.Store(0)
+	if l.second.Swap(now) != now {
+		l.lines.Store(0)
 	}
-	return m.logLines.Add(1) <= maxServedLinesPerSecond
+	return l.lines.Add(1) <= maxLinesPerSecond
 }
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -61,6 +61,9 @@
 	// connection such a response may be a late one to an earlier request, so it is an error
 	// there. If Unidentified is nil, every response counts as identified.
 	Unidentified func(http.Header) bool
+	// Carriers holds the connections on which the same request, with the same id, has been sent
+	// before. It is nil for a request that is sent only once.
+	Carriers *Carriers
 }
 
 // conn is a connection to a target. It carries one request at a time.
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -23,6 +24,24 @@
 // target.
 var ErrFull = errors.Wrap(ErrNotSent, "all connections to the target are in use")
 
+// Carriers is the set of connections that have carried a request. When the request is sent again it
+// uses none of them: a late copy of the earlier response has the id of the request, so that on the
+// same connection it could not be told from the response to the later send. The zero value is an
+// empty set. It is not safe for concurrent use.
+type Carriers struct {
+	conns []*conn
+}
+
+// add adds a connection to a set that is not nil.
+func (s *Carriers) add(c *conn) {
+	if s != nil {
+		s.conns = append(s.conns, c)
+	}
+}
+
+// contains reports whether a connection is in the set. A nil set is empty.
+func (s *Carriers) contains(c *conn) bool { return s != nil && slices.Contains(s.conns, c) }
+
 // Pool manages the connections to one target.
 type Pool struct {
 	addr  string
@@ -61,14 +80,17 @@
 	return len(p.idle)
 }
 
-// popIdle returns the most recently used idle connection that is still usable, nil if there is
-// none. It closes the unusable ones that it finds.
-func (p *Pool) popIdle() *conn {
+// popIdle returns the most recently used idle connection that is still usable and has not carried
+// the request, nil if there is none. It closes the unusable ones that it finds.
+func (p *Pool) popIdle(carriers *Carriers) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if carriers.contains(c) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if c.idleAndOpen() {
 			return c
 		}
@@ -78,19 +100,34 @@
 	return nil
 }
 
-// get returns an idle connection or opens a new one. It fails with ErrFull at the limit.
-func (p *Pool) get(ctx context.Context) (*conn, error) {
-	if c := p.popIdle(); c != nil {
+// reserveDial counts a new connection as open. At the limit it makes room by closing an idle
+// connection that has carried the request; if there is none, it returns false.
+func (p *Pool) reserveDial(limit int, carriers *Carriers) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.openCount >= limit {
+		i := slices.IndexFunc(p.idle, carriers.contains)
+		if i < 0 {
+			return false
+		}
+		_ = p.idle[i].Close()
+		p.idle = slices.Delete(p.idle, i, i+1)
+		p.openCount--
+	}
+	p.openCount++
+	return true
+}
+
+// get returns an idle connection that has not carried the request or opens a new one. It fails with
+// ErrFull at the limit.
+func (p *Pool) get(ctx context.Context, carriers *Carriers) (*conn, error) {
+	if c := p.popIdle(carriers); c != nil {
 		return c, nil
 	}
 	limit := p.limit() // called without the lock, as limit may wait for other locks
-	p.mu.Lock()
-	if p.openCount >= limit {
-		p.mu.Unlock()
+	if !p.reserveDial(limit, carriers) {
 		return nil, errors.WithStack(ErrFull)
 	}
-	p.openCount++
-	p.mu.Unlock()
 	p.Dialed.Add(1)
 	c, err := dial(ctx, p.addr, dialTimeout)
 	if err != nil {
@@ -127,6 +164,9 @@
 	stop    func() bool
 }
 
+// Connection returns the local address of the connection, which identifies it in logs.
+func (a *Response) Connection() string { return a.conn.LocalAddr().String() }
+
 // Finish ends the exchange. bodyRead reports whether the body has been read to its end; otherwise
 // the connection is closed.
 func (a *Response) Finish(bodyRead bool) {
@@ -153,10 +193,11 @@
 // is ErrNotSent guarantees that the target has not seen the request; after any other error the
 // request may have run. The connection is closed when ctx ends.
 func (p *Pool) Do(ctx context.Context, req *Request) (*Response, error) {
-	c, err := p.get(ctx)
+	c, err := p.get(ctx, req.Carriers)
 	if err != nil {
 		return nil, err
 	}
+	req.Carriers.add(c)
 	if req.NonRepeatable && !c.reused && !c.accepted() {
 		p.put(c, 0)
 		return nil, errors.Wrap(ErrNotSent, "the target closed the new connection")
