--- a/controller/ledger.go
+++ b/controller/ledger.go
@@ -58,7 +58,11 @@
 	if err := s.requireLeader(fleet.LedgerGroup); err != nil {
 		return nil, err
 	}
-	return propose[ledgersm.Reply](ctx, s, fleet.LedgerGroup, &ledgersm.Command{Settle: req})
+	reply, err := propose[ledgersm.Reply](ctx, s, fleet.LedgerGroup, &ledgersm.Command{Settle: req})
+	if err == nil && reply.Verdict == ledgersm.UnknownTurn {
+		s.log.Info("turn not kept: the turn that it continues is not stored", "request", req.Attempt, "program", req.Program, "previous", req.Previous)
+	}
+	return reply, err
 }
 
 // programBegun reports whether the ledger knows a program. It reads the local state without a
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -52,6 +52,7 @@
 	req := &ledgersm.Reserve{
 		Org: x.org, Program: x.req.Program, Attempt: x.req.ID,
 		Budget: x.req.Budget, Tokens: x.req.MaxTokens, Retention: x.route.Retention,
+		Hold: max(x.timeLeft(), 0) + settleTimeout,
 	}
 	if x.route.KeepsHistory {
 		req.Previous, req.WillKeep = x.req.PreviousTurn, true
@@ -82,12 +83,20 @@
 	return errs.New(errs.Unavailable, "retry", "the ledger refused the turn").WithRetryAfter(ledgerRetryAfter)
 }
 
-// settle ends the reservation and waits until the ledger has recorded this durably.
+// settle ends the reservation and waits until the ledger has recorded this durably. It fails if a turn
+// that is to be kept could not be, because the turn that it continues has expired.
 func (x *exchange) settle(ctx context.Context, s *ledgersm.Settle) error {
 	x.fillSettle(s)
 	x.reserved = false
-	_, err := x.g.opts.Client.Settle(ctx, s)
-	return err
+	reply, err := x.g.opts.Client.Settle(ctx, s)
+	if err != nil {
+		return err
+	}
+	if reply.Verdict == ledgersm.UnknownTurn {
+		return errs.New(errs.UnknownProgram, "send the whole conversation in a turn without a previous one",
+			"turn %q expired while a turn that continues from it ran", s.Previous)
+	}
+	return nil
 }
 
 // fillSettle sets the fields that identify the turn.
--- a/statemachine/ledgersm/ledgersm_test.go
+++ b/statemachine/ledgersm/ledgersm_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -38,6 +40,13 @@
 		Input: []byte(in), Output: []byte(out), Retention: time.Minute}})
 }
 
+// continueTurn reserves tokens for a turn of a program without a budget, which may run for the given
+// time.
+func continueTurn(m *Machine, now time.Duration, attempt, previous string, hold time.Duration) Verdict {
+	return apply(m, now, Command{Reserve: &Reserve{Org: "acme", Program: "p", Attempt: attempt, Tokens: 1, Previous: previous,
+		Retention: time.Minute, Hold: hold, WillKeep: true}}).Verdict
+}
+
 var _ = Describe("budgets", func() {
 	// Guards against concurrent turns that together exceed the budget of their program.
 	It("counts reservations in full and settled turns by the tokens they used", func() {
@@ -82,6 +91,17 @@
 		Expect(programs).To(Equal(1))
 	})
 
+	// Guards against a program that gets a new budget because it was removed while a turn ran that
+	// takes longer than the retention.
+	It("keeps a program while a turn may run", func() {
+		m := New()
+		command := func(attempt string) Command {
+			return Command{Reserve: &Reserve{Org: "acme", Program: "p", Attempt: attempt, Budget: 100, Tokens: 100, Retention: time.Second, Hold: time.Minute}}
+		}
+		Expect(apply(m, 0, command("a")).Verdict).To(Equal(OK))
+		Expect(apply(m, 50*time.Second, command("b")).Verdict).To(Equal(BudgetExhausted))
+	})
+
 	// Guards against any sequence of commands after which the reserved and spent tokens of a
 	// program exceed its budget.
 	It("never exceeds the budget", func() {
@@ -146,6 +166,97 @@
 		Expect(ok).To(BeFalse(), "turns are removed after their retention")
 	})
 
+	// Guards against a turn whose history is lost because the turn before it expires while it runs:
+	// nothing could continue from it, although it was answered whole.
+	It("keeps the chain that a running turn continues", func() {
+		m := New()
+		keepTurn(m, 0, "acme", "1", "", "a", "A")
+		keepTurn(m, 0, "acme", "2", "1", "b", "B")
+		begin := 59 * time.Second
+		Expect(continueTurn(m, begin, "3", "2", 10*time.Second)).To(Equal(OK))
+		keepTurn(m, begin+9*time.Second, "acme", "3", "2", "c", "C")
+		keepTurn(m, begin+65*time.Second, "acme", "other", "", "z", "Z")
+		h, ok := m.History("acme", "3")
+		Expect(ok).To(BeTrue())
+		Expect(string(h)).To(Equal("aAbBcC"))
+	})
+
+	// Guards against turns that are kept for ever because a turn that continues from them never ends:
+	// its host is lost.
+	It("removes a chain after the longest time of a turn that never ends", func() {
+		m := New()
+		keepTurn(m, 0, "acme", "1", "", "a", "A")
+		Expect(continueTurn(m, 59*time.Second, "2", "1", 10*time.Second)).To(Equal(OK))
+		keepTurn(m, 90*time.Second, "acme", "other", "", "z", "Z")
+		_, ok := m.History("acme", "1")
+		Expect(ok).To(BeFalse())
+	})
+
+	// Guards against a turn that extends a chain although it may not run.
+	It("does not keep a chain for a turn that is refused", func() {
+		m := New()
+		keepTurn(m, 0, "acme", "1", "", "a", "A")
+		Expect(reserve(m, 50*time.Second, "x", 10, 10)).To(Equal(OK))
+		Expect(continueTurn(m, 59*time.Second, "2", "1", time.Minute)).To(Equal(BudgetExhausted))
+		keepTurn(m, 70*time.Second, "acme", "other", "", "z", "Z")
+		_, ok := m.History("acme", "1")
+		Expect(ok).To(BeFalse())
+	})
+
+	// Guards against acknowledging a turn that nothing can continue from, after an outage that was
+	// longer than the time for which its chain was kept.
+	It("does not acknowledge a turn whose chain is gone", func() {
+		m := New()
+		keepTurn(m, 0, "acme", "1", "", "a", "A")
+		Expect(continueTurn(m, 50*time.Second, "2", "1", time.Second)).To(Equal(OK))
+		reply := apply(m, 200*time.Second, Command{Settle: &Settle{Org: "acme", Program: "p", Attempt: "2", Tokens: 7, Keep: true, Previous: "1", Retention: time.Minute}})
+		Expect(reply.Verdict).To(Equal(UnknownTurn))
+		_, turns := m.Counts()
+		Expect(turns).To(BeZero())
+	})
+
+	// Guards against any sequence of turns, long ones included, after which a turn that was
+	// acknowledged cannot be continued within its retention.
+	It("returns the history of every acknowledged turn until the end of its retention", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			m := New()
+			now := time.Duration(0)
+			acknowledged := map[string]time.Duration{}
+			want := map[string]string{}
+			running := map[string]string{} // the turn before, by turn
+			ids := []string{""}
+			for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
+				now += time.Duration(rapid.IntRange(0, 30).Draw(t, "pause")) * time.Second
+				id := fmt.Sprint(i)
+				previous := rapid.SampledFrom(ids).Draw(t, "previous")
+				if continueTurn(m, now, id, previous, 2*time.Minute) == OK {
+					running[id] = previous
+				}
+				for _, id := range slices.Sorted(maps.Keys(running)) {
+					if !rapid.Bool().Draw(t, "ends") {
+						continue
+					}
+					previous := running[id]
+					delete(running, id)
+					reply := apply(m, now, Command{Settle: &Settle{Org: "acme", Program: "p", Attempt: id, Keep: true,
+						Previous: previous, Input: []byte(id + ","), Retention: time.Minute}})
+					if reply.Verdict == OK {
+						acknowledged[id], want[id] = now, want[previous]+id+","
+						ids = append(ids, id)
+					}
+				}
+				for id, at := range acknowledged {
+					if now-at > time.Minute {
+						continue
+					}
+					if h, ok := m.History("acme", id); !ok || string(h) != want[id] {
+						t.Fatalf("turn %s, acknowledged %v ago: history %q, known: %t, want %q", id, now-at, h, ok, want[id])
+					}
+				}
+			}
+		})
+	})
+
 	// Guards against a resent settlement that replaces the recorded turn.
 	It("keeps the first settlement of a turn", func() {
 		m := New()
--- a/statemachine/ledgersm/machine.go
+++ b/statemachine/ledgersm/machine.go
@@ -82,19 +82,32 @@
 		return reply
 	}
 	p.Reservations[c.Attempt] = c.Tokens
+	m.holdForTurn(now, p, c)
 	return reply
 }
 
+// holdForTurn keeps what a turn needs that has just begun, its program and the chain that it continues,
+// until the turn has been settled.
+func (m *Machine) holdForTurn(now time.Duration, p *program, c *Reserve) {
+	if c.Hold <= 0 {
+		return
+	}
+	until := now + c.Hold + retentionMargin
+	p.ExpiresAt = max(p.ExpiresAt, until)
+	m.extendChain(c.Org, c.Previous, until)
+}
+
 func (m *Machine) settle(now time.Duration, c *Settle, cmd []byte) Reply {
 	p := m.touchProgram(now, c.Org, c.Program, c.Retention)
 	if _, exists := p.Reservations[c.Attempt]; exists {
 		delete(p.Reservations, c.Attempt)
 		p.Spent += c.Tokens
 	}
-	if c.Keep {
-		m.keepTurn(now, c, cmd)
+	reply := Reply{Verdict: OK, Spent: p.Spent, Reserved: p.reserved()}
+	if c.Keep && !m.keepTurn(now, c, cmd) {
+		reply.Verdict = UnknownTurn
 	}
-	return Reply{Verdict: OK, Spent: p.Spent, Reserved: p.reserved()}
+	return reply
 }
 
 // touchProgram returns a program, which is created on first use, and extends its expiry.
@@ -113,16 +126,26 @@
 }
 
 // keepTurn stores a turn unless it is known and extends the expiry of the chain that it ends, so
-// that the history of a turn is kept as long as the turn.
-func (m *Machine) keepTurn(now time.Duration, c *Settle, cmd []byte) {
-	until := now + c.Retention + retentionMargin
+// that the history of a turn is kept as long as the turn. It returns false, and stores nothing, if the
+// turn that it continues is not stored.
+func (m *Machine) keepTurn(now time.Duration, c *Settle, cmd []byte) bool {
 	k := key(c.Org, c.Attempt)
 	if m.turns[k] == nil {
+		if c.Previous != "" && m.turns[key(c.Org, c.Previous)] == nil {
+			return false
+		}
 		id, offset := m.appendToBlock(cmd)
 		m.turns[k] = &turn{Previous: c.Previous, Block: id, Offset: offset, Size: len(cmd), command: cmd}
 	}
-	for id := c.Attempt; id != ""; {
-		t := m.turns[key(c.Org, id)]
+	m.extendChain(c.Org, c.Attempt, now+c.Retention+retentionMargin)
+	return true
+}
+
+// extendChain keeps the chain of turns that ends with lastTurn until the given time at least. A turn
+// that is kept as long ends the walk, because the turns before it are kept no less long.
+func (m *Machine) extendChain(org, lastTurn string, until time.Duration) {
+	for id := lastTurn; id != ""; {
+		t := m.turns[key(org, id)]
 		if t == nil || t.ExpiresAt >= until {
 			return
 		}
--- a/statemachine/ledgersm/types.go
+++ b/statemachine/ledgersm/types.go
@@ -23,12 +23,16 @@
 	Tokens    int64         `msgpack:"t"` // the maximum that the turn may produce
 	Previous  string        `msgpack:"v"` // the turn that this one continues; empty: none
 	Retention time.Duration `msgpack:"k"`
+	// Hold is the longest time until the turn is settled. Until then its program and the chain that it
+	// continues are kept.
+	Hold time.Duration `msgpack:"d,omitempty"`
 	// WillKeep announces that the turn will be settled with Keep set.
 	WillKeep bool `msgpack:"h,omitempty"`
 }
 
 // Settle ends a reservation and records the tokens that the turn has produced. With Keep set, the
-// turn is stored and can be continued until its retention ends.
+// turn is stored and can be continued until its retention ends; the verdict UnknownTurn means that it
+// is not stored, because the turn that it continues is not.
 type Settle struct {
 	Org       string        `msgpack:"o"`
 	Program   string        `msgpack:"p"`
