--- a/gateway/events.go
+++ b/gateway/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,7 @@
 	line    []byte // incomplete last line
 	data    []byte // data of the incomplete last event
 	hasData bool   // the incomplete event has a data field
+	inEvent bool   // a field has begun an event that no blank line has ended
 }
 
 const (
@@ -52,15 +54,30 @@
 	}
 }
 
-var dataField = []byte("data:")
+// checkComplete fails if the bytes so far end inside an event or a line, where no whole stream ends.
+func (e *eventRecorder) checkComplete() error {
+	if len(e.line) > 0 || e.inEvent {
+		return errors.Wrapf(io.ErrUnexpectedEOF, "the stream ends inside an event, after %d whole ones", e.count)
+	}
+	return nil
+}
+
+var (
+	dataField     = []byte("data:")
+	commentPrefix = []byte(":")
+)
 
 func (e *eventRecorder) endLine() {
 	line := bytes.TrimSuffix(e.line, []byte("\r"))
 	switch {
 	case len(line) == 0:
 		e.endEvent()
+	case bytes.HasPrefix(line, commentPrefix):
 	case bytes.HasPrefix(line, dataField):
+		e.inEvent = true
 		e.addData(bytes.TrimPrefix(line[len(dataField):], []byte(" ")))
+	default:
+		e.inEvent = true
 	}
 	e.line = e.line[:0]
 }
@@ -76,6 +93,7 @@
 }
 
 func (e *eventRecorder) endEvent() {
+	e.inEvent = false
 	if !e.hasData {
 		return
 	}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -144,7 +144,7 @@
 			return io.ErrUnexpectedEOF
 		}
 		if err == io.EOF {
-			return nil
+			return rec.checkComplete()
 		}
 		if err != nil {
 			return err
