--- a/controller/server.go
+++ b/controller/server.go
@@ -76,6 +76,7 @@
 	fleet.Handle(w, fleet.MethodPut, s.put)
 	fleet.Handle(w, fleet.MethodGet, func(ctx context.Context, _ *struct{}) (*fleet.GetReply, error) { return s.get(ctx) })
 	fleet.Handle(w, fleet.MethodZone, s.setZone)
+	fleet.Handle(w, fleet.MethodZoneOrder, s.zoneOrder)
 	fleet.Handle(w, fleet.MethodHosts, func(context.Context, *struct{}) (*fleet.HostsReply, error) { return s.listHosts() })
 	fleet.Handle(w, fleet.MethodReserve, s.reserve)
 	fleet.Handle(w, fleet.MethodSettle, s.settle)
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -10,17 +10,19 @@
 
 // Names of the RPC methods.
 const (
-	MethodPoll    = "fleet.poll"
-	MethodRate    = "fleet.rate"
-	MethodPermit  = "fleet.permit"
-	MethodPut     = "document.put"
-	MethodGet     = "document.get"
-	MethodZone    = "document.zone"
-	MethodHosts   = "fleet.hosts"
-	MethodContact = "fleet.contact" // answered by the leader and by gateways
-	MethodReserve = "ledger.reserve"
-	MethodSettle  = "ledger.settle"
-	MethodProgram = "ledger.program"
+	MethodPoll   = "fleet.poll"
+	MethodRate   = "fleet.rate"
+	MethodPermit = "fleet.permit"
+	MethodPut    = "document.put"
+	MethodGet    = "document.get"
+	MethodZone   = "document.zone"
+	// MethodZoneOrder returns the number of the next order for an availability zone.
+	MethodZoneOrder = "document.zone_order"
+	MethodHosts     = "fleet.hosts"
+	MethodContact   = "fleet.contact" // answered by the leader and by gateways
+	MethodReserve   = "ledger.reserve"
+	MethodSettle    = "ledger.settle"
+	MethodProgram   = "ledger.program"
 )
 
 // Kinds of hosts.
@@ -164,6 +166,19 @@
 type ZoneRequest struct {
 	Zone string `msgpack:"z"`
 	Out  bool   `msgpack:"o"`
+	// Order is the number of this order for the zone, from ZoneOrderReply. The order is refused if
+	// another one has been executed under it.
+	Order uint64 `msgpack:"n,omitempty"`
+}
+
+// ZoneOrderRequest asks for the number of the next order for an availability zone.
+type ZoneOrderRequest struct {
+	Zone string `msgpack:"z"`
+}
+
+// ZoneOrderReply holds the number of the next order for an availability zone.
+type ZoneOrderReply struct {
+	Order uint64 `msgpack:"n"`
 }
 
 // HostsReply lists the hosts that poll. Settled is false while a new leader may not have
--- a/operator/orders.go
+++ b/operator/orders.go
@@ -36,10 +36,20 @@
 	return reply.Body, nil
 }
 
+// NextZoneOrder returns the number under which the next order for an availability zone can be executed.
+// It is higher than those of all orders that have been acknowledged.
+func (o *Operations) NextZoneOrder(ctx context.Context, zone string) (uint64, error) {
+	reply, err := o.Client.ZoneOrder(ctx, &fleet.ZoneOrderRequest{Zone: zone})
+	if err != nil {
+		return 0, err
+	}
+	return reply.Order, nil
+}
+
 // SetZoneOutOfService takes an availability zone out of service, or returns it to service if out is
-// false.
-func (o *Operations) SetZoneOutOfService(ctx context.Context, zone string, out bool) error {
-	_, err := o.Client.SetZoneOutOfService(ctx, &fleet.ZoneRequest{Zone: zone, Out: out})
+// false. It fails if another order for the zone has been executed under this number or a higher one.
+func (o *Operations) SetZoneOutOfService(ctx context.Context, zone string, out bool, order uint64) error {
+	_, err := o.Client.SetZoneOutOfService(ctx, &fleet.ZoneRequest{Zone: zone, Out: out, Order: order})
 	return err
 }
 
--- a/stateclient/fleet.go
+++ b/stateclient/fleet.go
@@ -44,6 +44,11 @@
 	return callController[fleet.GetReply](ctx, c, fleet.DocumentGroup, fleet.MethodGet, false, struct{}{})
 }
 
+// ZoneOrder returns the number of the next order for an availability zone.
+func (c *Client) ZoneOrder(ctx context.Context, req *fleet.ZoneOrderRequest) (*fleet.ZoneOrderReply, error) {
+	return callController[fleet.ZoneOrderReply](ctx, c, fleet.DocumentGroup, fleet.MethodZoneOrder, false, req)
+}
+
 // SetZoneOutOfService takes an availability zone out of service or returns it.
 func (c *Client) SetZoneOutOfService(ctx context.Context, req *fleet.ZoneRequest) (*fleet.PutReply, error) {
 	return callController[fleet.PutReply](ctx, c, fleet.DocumentGroup, fleet.MethodZone, true, req)
--- a/statemachine/documentsm/documentsm_test.go
+++ b/statemachine/documentsm/documentsm_test.go
@@ -49,6 +49,47 @@
 	}
 }
 
+// Guards against an order for an availability zone that was given up, is executed after a later one was
+// acknowledged, and undoes it. The steps are the orders in the sequence in which they are executed.
+func TestOvertakenZoneOrders(t *testing.T) {
+	type step struct {
+		out       bool
+		order     uint64
+		overtaken bool
+	}
+	for _, c := range []struct {
+		desc  string
+		steps []step
+		out   bool // whether the zone is out of service after the last step
+	}{
+		{"in sequence", []step{{true, 1, false}, {false, 2, false}, {true, 3, false}}, true},
+		{"repeated", []step{{true, 1, false}, {true, 1, false}, {true, 1, false}}, true},
+		{"stale return", []step{{true, 1, false}, {false, 2, false}, {true, 3, false}, {false, 2, true}}, true},
+		{"stale evacuation", []step{{true, 1, false}, {false, 2, false}, {true, 1, true}}, false},
+		{"stale return that was never executed", []step{{true, 1, false}, {true, 2, false}, {false, 2, true}}, true},
+		{"two operators with the same number", []step{{true, 1, false}, {false, 1, true}}, true},
+		{"a number that was not given out", []step{{true, 9, true}}, false},
+		{"without a number", []step{{true, 0, false}, {false, 0, false}, {true, 0, false}}, true},
+		{"stale return after an order without a number", []step{{true, 1, false}, {true, 0, false}, {false, 2, true}}, true},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			m := New()
+			for i, s := range c.steps {
+				reply := apply(g, m, Command{Zone: &ZoneChange{Zone: "a", Out: s.out, Order: s.order}})
+				g.Expect(reply.Overtaken).To(Equal(s.overtaken), "step %d", i)
+				data, err := m.Snapshot()
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(m.Restore(data)).To(Succeed())
+			}
+			apply(g, m, Command{Zone: &ZoneChange{Zone: "b", Out: true, Order: 1}})
+			state := m.Get()
+			g.Expect(state.Out["a"]).To(Equal(c.out))
+			g.Expect(state.Out["b"]).To(BeTrue(), "zones are numbered apart")
+		})
+	}
+}
+
 // Guards against an availability zone that returns to service without a command, and against zones
 // out of service that are lost in a snapshot.
 func TestZonesOut(t *testing.T) {
--- a/statemachine/documentsm/machine.go
+++ b/statemachine/documentsm/machine.go
@@ -26,6 +26,10 @@
 type ZoneChange struct {
 	Zone string `msgpack:"z"`
 	Out  bool   `msgpack:"o"`
+	// Order is the number of the order among the executed orders for its zone. The change is not made
+	// if another order has been executed under this number. 0 is an order without a number, which is
+	// always executed.
+	Order uint64 `msgpack:"n,omitempty"`
 }
 
 // Reply is the reply to a command. Version is the document's version after the command.
@@ -33,6 +37,8 @@
 	Version uint64 `msgpack:"v"`
 	// Changed is set if the command changed the state.
 	Changed bool `msgpack:"c"`
+	// Overtaken is set if a ZoneChange was not made because its zone has had another order since.
+	Overtaken bool `msgpack:"o,omitempty"`
 }
 
 // State is the replicated state. Out holds the availability zones that are out of service.
@@ -42,6 +48,9 @@
 	Out     map[string]bool `msgpack:"o"`
 	// ZoneRevision is the number of changes of Out, by which hosts recognise a newer set of zones.
 	ZoneRevision uint64 `msgpack:"m"`
+	// ZoneOrders is the number of executed orders by availability zone, those included that changed
+	// nothing.
+	ZoneOrders map[string]uint64 `msgpack:"n"`
 }
 
 // Machine implements replica.StateMachine.
@@ -51,7 +60,9 @@
 }
 
 // New returns an empty machine.
-func New() *Machine { return &Machine{state: State{Out: map[string]bool{}}} }
+func New() *Machine {
+	return &Machine{state: State{Out: map[string]bool{}, ZoneOrders: map[string]uint64{}}}
+}
 
 // Apply executes an encoded command and returns the encoded Reply, or nil if the command cannot be
 // decoded.
@@ -62,24 +73,40 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	changed := false
+	var reply Reply
 	switch {
 	case c.Put != nil && c.Put.Version > m.state.Version:
 		m.state.Version, m.state.Body = c.Put.Version, c.Put.Body
-		changed = true
-	case c.Zone != nil && m.state.Out[c.Zone.Zone] != c.Zone.Out:
-		m.setZoneOut(c.Zone)
-		changed = true
+		reply.Changed = true
+	case c.Zone != nil:
+		reply.Changed, reply.Overtaken = m.changeZone(c.Zone)
 	}
-	out, err := msgpack.Marshal(Reply{Version: m.state.Version, Changed: changed})
+	reply.Version = m.state.Version
+	out, err := msgpack.Marshal(reply)
 	if err != nil {
 		return nil
 	}
 	return out
 }
 
-// setZoneOut applies a ZoneChange. It replaces the map instead of modifying it, because callers of
-// Get share it.
+// changeZone executes an order for an availability zone. An order whose number has been used by
+// another one is not executed: it was sent before that one was acknowledged. If it asks for the present
+// state, it may be a repetition, and nothing has to be refused.
+func (m *Machine) changeZone(z *ZoneChange) (changed, overtaken bool) {
+	differs := m.state.Out[z.Zone] != z.Out
+	if z.Order != 0 && z.Order != m.state.NextZoneOrder(z.Zone) {
+		return false, differs
+	}
+	m.state.ZoneOrders = maps.Clone(m.state.ZoneOrders)
+	m.state.ZoneOrders[z.Zone]++
+	if differs {
+		m.setZoneOut(z)
+	}
+	return differs, false
+}
+
+// setZoneOut changes the state of a zone. It replaces the map instead of modifying it, because callers
+// of Get share it.
 func (m *Machine) setZoneOut(z *ZoneChange) {
 	out := maps.Clone(m.state.Out)
 	delete(out, z.Zone)
@@ -100,6 +127,9 @@
 // ZonesOut returns the availability zones that are out of service, sorted.
 func (s *State) ZonesOut() []string { return slices.Sorted(maps.Keys(s.Out)) }
 
+// NextZoneOrder returns the number of the next order for an availability zone.
+func (s *State) NextZoneOrder(zone string) uint64 { return s.ZoneOrders[zone] + 1 }
+
 // Snapshot returns the encoded state.
 func (m *Machine) Snapshot() ([]byte, error) {
 	s := m.Get()
@@ -116,6 +146,9 @@
 	if s.Out == nil {
 		s.Out = map[string]bool{}
 	}
+	if s.ZoneOrders == nil {
+		s.ZoneOrders = map[string]uint64{}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = s
