--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -10,7 +10,7 @@
 
 // check compares the results that callers received with the requests that targets ran, and
 // fills in the report.
-func (w *workload) check(report *Report, limits []limitPeriod) {
+func (w *workload) check(report *Report, limits []limitPeriod, evacuations []evacuation) {
 	w.mu.Lock()
 	attempts := w.attempts
 	w.mu.Unlock()
@@ -28,6 +28,7 @@
 	w.checkRates(byID)
 	w.checkLeaving(attempts)
 	w.checkLimits(limits, byID)
+	w.checkEvacuations(evacuations, byID)
 	report.Violations = w.violations
 }
 
@@ -37,11 +38,11 @@
 	id, r := a.call.ID, a.result
 	runs := w.site.log.RunsOf(id)
 	if a.kind != "look" && len(runs) > 1 {
-		w.recordViolation("RAN MORE THAN ONCE: %s ran %d times", id, len(runs))
+		w.recordViolation("RAN MORE THAN ONCE (TWICE): %s ran %d times", id, len(runs))
 	}
 	refused := r.Status == 429 || r.Status == 503 || r.Status == 402 || r.Status == 408 || r.Status == 421
 	if refused && len(runs) > 0 && a.kind != "look" {
-		w.recordViolation("RAN ALTHOUGH REFUSED: %s was answered with status %d but ran", id, r.Status)
+		w.recordViolation("RAN ALTHOUGH REFUSED (REFUSED): %s was answered with status %d but ran", id, r.Status)
 	}
 	if (r.Status == 401 || r.Status == 403 || r.Status == 400) || (r.Status == 404 && a.kind != "chat") {
 		w.recordViolation("VALID REQUEST REJECTED: %s was answered with status %d", id, r.Status)
@@ -79,7 +80,7 @@
 		}
 	}
 	if data.String() != standin.StreamOutput(id) {
-		w.recordViolation("WRONG EVENTS: %s got the events %q", id, data.String())
+		w.recordViolation("WRONG EVENTS (ORDER): %s got the events %q", id, data.String())
 	}
 }
 
@@ -97,7 +98,7 @@
 	for _, a := range attempts {
 		notFound := a.result.Status == 404 || a.result.Status == 410
 		if notFound && completed[a.call.Previous] {
-			w.recordViolation("TURN LOST: %s was answered with status %d although the response of its previous turn %s was complete", a.call.ID, a.result.Status, a.call.Previous)
+			w.recordViolation("TURN LOST (LOST): %s was answered with status %d although the response of its previous turn %s was complete", a.call.ID, a.result.Status, a.call.Previous)
 		}
 	}
 	return n
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -51,6 +51,12 @@
 	clientCount     = 12
 	// limitSeed makes the random numbers of limitTargets differ from those of the other faults.
 	limitSeed = 0x6c696d6974
+	// answerSeed, zoneSeed and longSeed do the same for disturbAnswers, orderZones and runLongPrograms.
+	answerSeed = 0x616e73776572
+	zoneSeed   = 0x7a6f6e65
+	longSeed   = 0x6c6f6e67
+	// longClientCount is the number of callers with long turns.
+	longClientCount = 4
 )
 
 // Run starts a site, injects the faults of one seed under load and checks the guarantees.
@@ -85,17 +91,23 @@
 	wg.Go(func() { w.runOperator(ctx) })
 	wg.Go(func() { w.probeKeys(ctx) })
 	wg.Go(func() { s.disturbTargets(ctx, rand.New(rand.NewSource(^opts.Seed))) })
-	limitCtx, endLimits := context.WithCancel(ctx)
+	for i := range longClientCount {
+		wg.Go(func() { w.runLongPrograms(ctx, rand.New(rand.NewSource(opts.Seed*1000^longSeed+int64(i))), i) })
+	}
+	faultCtx, endFaults := context.WithCancel(ctx)
 	var limits []limitPeriod
-	var limiting sync.WaitGroup
-	limiting.Go(func() { limits = s.limitTargets(limitCtx, rand.New(rand.NewSource(opts.Seed^limitSeed))) })
+	var evacuations []evacuation
+	var disturbing sync.WaitGroup
+	disturbing.Go(func() { limits = s.limitTargets(faultCtx, rand.New(rand.NewSource(opts.Seed^limitSeed))) })
+	disturbing.Go(func() { evacuations = w.orderZones(faultCtx, rand.New(rand.NewSource(opts.Seed^zoneSeed))) })
+	disturbing.Go(func() { s.disturbAnswers(faultCtx, rand.New(rand.NewSource(opts.Seed^answerSeed))) })
 	s.injectFaults(time.Now().Add(opts.FaultDuration), func(f string) { report.Faults = append(report.Faults, f) })
-	endLimits()
-	limiting.Wait()
+	endFaults()
+	disturbing.Wait()
 	w.checkRecovery()
 	cancel()
 	wg.Wait()
-	w.check(report, limits)
+	w.check(report, limits, evacuations)
 	if w.probesServed == 0 {
 		report.Violations = append(report.Violations, "no request with the rotating key was served, so key revocation was not tested")
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -31,7 +31,8 @@
 }
 
 // Guards against violated guarantees while processes are killed, frozen, cut off and restarted.
-// The checks are in check.go, key_rotation.go, target_faults.go, workload.go and run.go.
+// The checks are in check.go, key_rotation.go, long_turns.go, target_faults.go, target_limits.go,
+// workload.go, zone_orders.go and run.go.
 func TestShortSoakHasNoViolations(t *testing.T) {
 	g := NewWithT(t)
 	bin := t.TempDir()
@@ -42,7 +43,13 @@
 	out, err := build.CombinedOutput()
 	g.Expect(err).NotTo(HaveOccurred(), string(out))
 	for _, seed := range append([]int64{7, 8}, regressionSeeds...) {
-		report, err := Run(Options{Bin: bin, Seed: seed, FaultDuration: 10 * time.Second, LogDir: os.Getenv("FIGLB_SOAK_KEEP")})
+		// The first two are long enough for turns that outlast the turn before them and for an
+		// evacuation that follows a change of mind.
+		length := 10 * time.Second
+		if seed <= 8 {
+			length = 25 * time.Second
+		}
+		report, err := Run(Options{Bin: bin, Seed: seed, FaultDuration: length, LogDir: os.Getenv("FIGLB_SOAK_KEEP")})
 		g.Expect(err).NotTo(HaveOccurred())
 		t.Log(report.Summary())
 		g.Expect(report.Violations).To(BeEmpty(), report.Summary())
