--- a/command/command_test.go
+++ b/command/command_test.go
@@ -30,6 +30,8 @@
 	objects  []structs.Object
 	current  *structs.Declaration
 	err      error
+	// drainOrdersOf holds the drain names whose next number was asked for, which is always 3.
+	drainOrdersOf []string
 }
 
 func (f *fakeAPI) Config(_ context.Context, cmd structs.ConfigCommand) (*structs.ConfigReply, error) {
@@ -39,6 +41,10 @@
 
 func (f *fakeAPI) QueryConfig(_ context.Context, q structs.ConfigQuery) (*structs.ConfigQueryReply, error) {
 	r := &structs.ConfigQueryReply{Revision: 6, Declaration: f.current}
+	if q.NextDrainOrder != "" {
+		f.drainOrdersOf = append(f.drainOrdersOf, q.NextDrainOrder)
+		r.NextDrainOrder = 3
+	}
 	for _, o := range f.objects {
 		for _, k := range q.Kinds {
 			if o.Kind == k {
@@ -131,6 +137,17 @@
 		Expect(stderr.String()).To(ContainSubstring("plan again"))
 	})
 
+	// Guards against a drain that is given up, arrives late and undoes a later return: members tell
+	// them apart by the numbers.
+	It("sends drains and returns with their numbers", func() {
+		Expect(run("drain", "-state", "x", "zone", "a")).To(Equal(command.ExitOK))
+		Expect(run("return", "-state", "x", "target", "t1")).To(Equal(command.ExitOK))
+		Expect(api.drainOrdersOf).To(Equal([]string{"zone/a", "target/t1"}))
+		for _, c := range api.commands {
+			Expect(c.SetDrain.Order).To(BeEquivalentTo(3))
+		}
+	})
+
 	It("exits with 5 and prints the request id when there is no response", func() {
 		api.err = context.DeadlineExceeded
 		Expect(run(with("apply", "-from", "8")...)).To(Equal(command.ExitUnavailable))
--- a/command/drain.go
+++ b/command/drain.go
@@ -37,8 +37,14 @@
 	default:
 		return usagef("%q cannot be drained, use zone, host or target", in.args[0])
 	}
+	// With its number, a command that is given up and arrives late cannot undo a later one.
+	d := structs.Drain{Scope: scope, Name: in.args[1]}
+	conf, err := in.api.QueryConfig(ctx, structs.ConfigQuery{Kinds: []structs.Kind{structs.KindSite}, NextDrainOrder: structs.DrainName(d.Scope, d.Name)})
+	if err != nil {
+		return err
+	}
 	reply, err := in.api.Config(ctx, in.configCommand(structs.ConfigCommand{
-		SetDrain: &structs.SetDrain{Drain: structs.Drain{Scope: scope, Name: in.args[1]}, On: on},
+		SetDrain: &structs.SetDrain{Drain: d, On: on, Order: conf.NextDrainOrder},
 	}))
 	return in.printRevision(reply, err)
 }
--- a/statemachine/configsm/configsm_test.go
+++ b/statemachine/configsm/configsm_test.go
@@ -82,6 +82,13 @@
 	return structs.ConfigCommand{SetDrain: &structs.SetDrain{Drain: structs.Drain{Scope: scope, Name: name}, On: on}}
 }
 
+// drainStep is a drain command for availability zone a.
+type drainStep struct {
+	on        bool
+	order     uint64
+	overtaken bool
+}
+
 func revokeKey(id string) structs.ConfigCommand {
 	return structs.ConfigCommand{RevokeKey: &structs.RevokeKey{ID: id}}
 }
@@ -232,6 +239,36 @@
 		Expect(full).To(BeTrue(), "a revision unknown to this site must yield the whole configuration")
 	})
 
+	// Guards against a drain or a return to service that was given up, arrives late and undoes a later
+	// one that was acknowledged. The steps are the commands in the sequence in which they are executed.
+	DescribeTable("refuses drain commands that were overtaken", func(drained bool, steps ...drainStep) {
+		s := newSite()
+		s.mustExecute(apply(0, declaration("acme")))
+		for i, step := range steps {
+			c := setDrain(structs.KindZone, "a", step.on)
+			c.SetDrain.Order = step.order
+			reply := s.execute(c)
+			if step.overtaken {
+				Expect(reply.Err).NotTo(BeNil(), "step %d", i)
+				Expect(reply.Err.Code).To(Equal(errs.RevisionConflict), "step %d", i)
+			} else {
+				Expect(reply.Err).To(BeNil(), "step %d", i)
+			}
+			data, err := s.Snapshot()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(s.Restore(data)).To(Succeed())
+		}
+		_, ok := s.Object(structs.KindDrain, "zone/a")
+		Expect(ok).To(Equal(drained))
+	},
+		Entry("in sequence", true, drainStep{true, 1, false}, drainStep{false, 2, false}, drainStep{true, 3, false}),
+		Entry("repeated", true, drainStep{true, 1, false}, drainStep{true, 1, false}),
+		Entry("late return", true, drainStep{true, 1, false}, drainStep{false, 2, false}, drainStep{true, 3, false}, drainStep{false, 2, true}),
+		Entry("late return that was never executed", true, drainStep{true, 1, false}, drainStep{true, 2, false}, drainStep{false, 2, true}),
+		Entry("late drain", false, drainStep{true, 1, false}, drainStep{false, 2, false}, drainStep{true, 1, true}),
+		Entry("without numbers", true, drainStep{true, 0, false}, drainStep{false, 0, false}, drainStep{true, 0, false}),
+	)
+
 	It("keeps keys and drains when declarations change and rolls back in a new revision", func() {
 		s := newPopulatedSite()
 		s.mustExecute(apply(5, declaration("nadir")))
--- a/statemachine/configsm/machine.go
+++ b/statemachine/configsm/machine.go
@@ -37,6 +37,9 @@
 	declarations []storedDeclaration    // the last historyLength declarations, oldest first
 	issuer       issuer
 	orders       []structs.EngineOrder // oldest first
+	// drainOrders is the number of executed drain commands by drain name, those included that changed
+	// nothing.
+	drainOrders map[string]uint64
 }
 
 // objectID identifies an object.
@@ -50,7 +53,9 @@
 	return &Machine{state: newState(), requests: reqlog.New()}
 }
 
-func newState() state { return state{objects: map[objectID]structs.Object{}} }
+func newState() state {
+	return state{objects: map[objectID]structs.Object{}, drainOrders: map[string]uint64{}}
+}
 
 // Apply implements replica.StateMachine. The command is a structs.ConfigCommand, the
 // reply a Reply, both as msgpack.
--- a/statemachine/configsm/query.go
+++ b/statemachine/configsm/query.go
@@ -99,6 +99,13 @@
 	return decodeDeclaration(m.state.declarations[len(m.state.declarations)-1].Data)
 }
 
+// NextDrainOrder returns the number of the next drain command for the object with a drain name.
+func (m *Machine) NextDrainOrder(drainName string) uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.state.nextDrainOrder(drainName)
+}
+
 // Orders returns the kept orders, oldest first.
 func (m *Machine) Orders() []structs.EngineOrder {
 	m.mu.RLock()
--- a/statemachine/configsm/snapshot.go
+++ b/statemachine/configsm/snapshot.go
@@ -1,6 +1,7 @@
 package configsm
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -22,6 +23,13 @@
 	Issuer       issuer                 `msgpack:"i"`
 	Orders       []structs.EngineOrder  `msgpack:"e"`
 	Requests     []reqlog.Entry         `msgpack:"q"`
+	DrainOrders  []drainOrderCount      `msgpack:"n,omitempty"`
+}
+
+// drainOrderCount is the number of executed drain commands for one object.
+type drainOrderCount struct {
+	Drain string `msgpack:"d"`
+	Count uint64 `msgpack:"c"`
 }
 
 // Snapshot implements replica.StateMachine.
@@ -39,6 +47,9 @@
 		out.Objects = append(out.Objects, o)
 	}
 	slices.SortFunc(out.Objects, compareByRevision)
+	for _, name := range slices.Sorted(maps.Keys(s.drainOrders)) {
+		out.DrainOrders = append(out.DrainOrders, drainOrderCount{Drain: name, Count: s.drainOrders[name]})
+	}
 	return reqlog.Encode(out), nil
 }
 
@@ -61,6 +72,9 @@
 	for _, o := range in.Objects {
 		s.objects[objectID{o.Kind, o.Name}] = o
 	}
+	for _, d := range in.DrainOrders {
+		s.drainOrders[d.Drain] = d.Count
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = s
--- a/stateserver/queries.go
+++ b/stateserver/queries.go
@@ -56,6 +56,9 @@
 	if q.History {
 		out.History = cfg.History()
 	}
+	if q.NextDrainOrder != "" {
+		out.NextDrainOrder = cfg.NextDrainOrder(q.NextDrainOrder)
+	}
 	if q.DeclarationOf == 0 {
 		return out, nil
 	}
--- a/structs/configcmd.go
+++ b/structs/configcmd.go
@@ -45,6 +45,10 @@
 type SetDrain struct {
 	Drain Drain `msgpack:"d"`
 	On    bool  `msgpack:"o"`
+	// Order is the number of the command among those for the same object, from
+	// ConfigQueryReply.NextDrainOrder. The command fails with a conflict if another one has been
+	// executed under this number. 0 is a command without a number, which is always executed.
+	Order uint64 `msgpack:"n,omitempty"`
 }
 
 // LiftFingerprint ends the quarantine of a request digest.
@@ -139,6 +143,9 @@
 	History bool   `msgpack:"h,omitempty"`
 	// DeclarationOf requests the declaration of a revision; 0 means none.
 	DeclarationOf uint64 `msgpack:"d,omitempty"`
+	// NextDrainOrder requests the number of the next drain command for the object with this
+	// DrainName; empty means none.
+	NextDrainOrder string `msgpack:"n,omitempty"`
 }
 
 // ConfigQueryReply answers a ConfigQuery.
@@ -149,4 +156,7 @@
 	Declaration *Declaration   `msgpack:"d,omitempty"`
 	Orders      []EngineOrder  `msgpack:"e,omitempty"`
 	Entries     []EntryInfo    `msgpack:"n,omitempty"`
+	// NextDrainOrder is the number of the next drain command for the requested object. It is above
+	// the numbers of all commands that have been acknowledged.
+	NextDrainOrder uint64 `msgpack:"x,omitempty"`
 }
