--- a/entry/drain_test.go
+++ b/entry/drain_test.go
@@ -25,6 +25,7 @@
 		b := newTestbed(Timing{})
 		var running atomic.Int32
 		release := make(chan struct{})
+		releaseAll := sync.OnceFunc(func() { close(release) })
 		b.startTarget("t1", "m", "", func(w http.ResponseWriter, _ *http.Request) {
 			writeSSE(w, deltaChunk("a"))
 			running.Add(1)
@@ -38,6 +39,8 @@
 			<-release
 			w.WriteHeader(201)
 		})
+		// After a failed expectation the targets could not be closed while they wait.
+		ginkgo.DeferCleanup(releaseAll)
 		s := ordersService
 		s.Timeout = 20 * time.Second
 		b.declareService(s)
@@ -74,7 +77,7 @@
 			return err
 		}, "4s").Should(HaveOccurred())
 		Consistently(stopped, "200ms").ShouldNot(BeClosed())
-		close(release)
+		releaseAll()
 		Eventually(stopped, "15s").Should(BeClosed())
 		wg.Wait()
 		Expect(ok.Load()).To(BeEquivalentTo(streams))
