--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -32,7 +32,7 @@
 	deadline time.Duration
 	reserved bool     // tokens of the program's budget are reserved in the ledger
 	targets  []string // ids of the targets that were tried, in order
-	carriers upstream.Carriers
+	carriers upstream.Carriers // connections on which the request has been sent
 	status   int // of the complete response; 0: none or an incomplete one; -1: an error of figlb
 	note     string
 }
