--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -30,10 +30,10 @@
 	// deadline is the clock time at which the exchange ends. It follows from the caller's
 	// deadline and the route's timeout.
 	deadline time.Duration
-	reserved bool     // tokens of the program's budget are reserved in the ledger
-	targets  []string // ids of the targets that were tried, in order
+	reserved bool              // tokens of the program's budget are reserved in the ledger
+	targets  []string          // ids of the targets that were tried, in order
 	carriers upstream.Carriers // connections on which the request has been sent
-	status   int // of the complete response; 0: none or an incomplete one; -1: an error of figlb
+	status   int               // of the complete response; 0: none or an incomplete one; -1: an error of figlb
 	note     string
 }
 
