--- a/controller/history.go
+++ b/controller/history.go
@@ -130,7 +130,7 @@
 func (c *coldTracker) digest(targets []fleet.Target) uint64 {
 	texts := make([]string, 0, len(targets))
 	for _, t := range targets {
-		text := t.ID + "\x01" + t.Service + "\x01" + t.Address + "\x01" + t.Zone + "\x01" + strconv.Itoa(t.Slots) +
+		text := t.ID + "\x01" + t.Service + "\x01" + t.Address + "\x01" + t.Zone + "\x01" + t.Version + "\x01" + strconv.Itoa(t.Slots) +
 			"\x01" + strconv.FormatInt(t.StartedAt, 10) + "\x01" + strconv.FormatBool(t.Draining) + "\x01" + strconv.FormatUint(c.periods[t.ID].revision, 10)
 		texts = append(texts, text)
 	}
--- a/controller/targets.go
+++ b/controller/targets.go
@@ -140,7 +140,7 @@
 		before, known := old[t.ID]
 		delete(old, t.ID)
 		if !known || before.Draining != t.Draining {
-			s.log.Info("target added or its drain state changed", "target", t.ID, "service", t.Service, "address", t.Address, "draining", t.Draining, "cold_ms", t.ColdFor.Milliseconds())
+			s.log.Info("target added or its drain state changed", "target", t.ID, "service", t.Service, "address", t.Address, "version", t.Version, "draining", t.Draining, "cold_ms", t.ColdFor.Milliseconds())
 		}
 	}
 	for id := range old {
--- a/fleet/targets.go
+++ b/fleet/targets.go
@@ -15,6 +15,7 @@
 	Address   string        `msgpack:"a"`
 	Zone      string        `msgpack:"z"`
 	Slots     int           `msgpack:"n"`
+	Version   string        `msgpack:"v,omitempty"` // of the target's software; empty: not stated
 	StartedAt int64         `msgpack:"b,omitempty"` // start time in Unix ms; distinguishes restarts under the same id
 	Draining  bool          `msgpack:"d,omitempty"`
 	ColdFor   time.Duration `msgpack:"c,omitempty"` // time that the target stays cold, counted from when the list was read
--- a/gateway/adapter.go
+++ b/gateway/adapter.go
@@ -41,6 +41,9 @@
 	// Resumes is set if the caller already has the beginning of the stream and requests the
 	// rest.
 	Resumes bool
+	// Origin is the id of the attempt that brought the first event of the stream that the caller
+	// resumes; empty if it does not say.
+	Origin string
 }
 
 // ForwardMetadata holds what figlb adds to the caller's header in a request to a target.
--- a/gateway/balance/set.go
+++ b/gateway/balance/set.go
@@ -75,11 +75,11 @@
 }
 
 // upsert adds a target or updates its description. If the target has restarted under the same
-// id or has moved to another address, it counts as a new target with no history, and the
-// replaced one is returned. The caller holds mu.
+// id, has moved to another address or runs another software version, it counts as a new target with
+// no history, and the replaced one is returned. The caller holds mu.
 func (s *Set) upsert(now time.Duration, f fleet.Target) (removed []*Target) {
 	t := s.byID[f.ID]
-	if t != nil && (t.StartedAt != f.StartedAt || t.Address != f.Address) {
+	if t != nil && (t.StartedAt != f.StartedAt || t.Address != f.Address || t.Version != f.Version) {
 		removed = append(removed, s.remove(f.ID))
 		t = nil
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -32,6 +32,7 @@
 	deadline time.Duration
 	reserved bool              // tokens of the program's budget are reserved in the ledger
 	targets  []string          // ids of the targets that were tried, in order
+	version  string            // software version of the last of them
 	carriers upstream.Carriers // connections on which the request has been sent
 	status   int               // of the complete response; 0: none or an incomplete one; -1: an error of figlb
 	note     string
@@ -231,9 +232,9 @@
 }
 
 func (x *exchange) logFields(took time.Duration) []any {
-	id, program, route, service := "", "", "", ""
+	id, program, origin, route, service := "", "", "", "", ""
 	if x.req != nil {
-		id, program = x.req.ID, x.req.Program
+		id, program, origin = x.req.ID, x.req.Program, x.req.Origin
 	}
 	if x.route != nil {
 		route = x.route.Name
@@ -242,7 +243,7 @@
 		service = x.service()
 	}
 	return []any{"request", id, "program", program, "route", route, "service", service, "org", x.org, "targets", x.targets,
-		"took_ms", took.Milliseconds(), "config", x.g.config.version(), "config_age_ms", x.g.config.age().Milliseconds(), "note", x.note}
+		"resumes", origin, "version", x.version, "took_ms", took.Milliseconds(), "config", x.g.config.version(), "config_age_ms", x.g.config.age().Milliseconds(), "note", x.note}
 }
 
 // service returns the service to which the request is routed.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -53,7 +53,7 @@
 			}
 			return x.noTargetError(err, last, ran)
 		}
-		x.targets = append(x.targets, t.ID)
+		x.targets, x.version = append(x.targets, t.ID), t.Version
 		last = x.sendTo(ctx, t)
 		x.g.targets.Release(t)
 		if last.responded {
