--- a/controller/ledger.go
+++ b/controller/ledger.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &fleet.ReserveReply{Verdict: uint8(reply.Verdict), Spent: reply.Spent, Reserved: reply.Reserved}
+	out := &fleet.ReserveReply{Verdict: uint8(reply.Verdict), Spent: reply.Spent, Reserved: reply.Reserved, Source: reply.Source}
 	if reply.Verdict != ledgersm.OK || req.Previous == "" {
 		return out, nil
 	}
@@ -65,6 +65,14 @@
 	return reply, err
 }
 
+// recordStream records or looks up the source of a stream that belongs to no turn.
+func (s *Server) recordStream(ctx context.Context, req *ledgersm.RecordStream) (*ledgersm.Reply, error) {
+	if err := s.requireLeader(fleet.LedgerGroup); err != nil {
+		return nil, err
+	}
+	return propose[ledgersm.Reply](ctx, s, fleet.LedgerGroup, &ledgersm.Command{Stream: req})
+}
+
 // programBegun reports whether the ledger knows a program. It reads the local state without a
 // read index, so it may miss a program whose first reservation is still being committed.
 func (s *Server) programBegun(_ context.Context, req *fleet.ProgramRequest) (*fleet.ProgramReply, error) {
--- a/controller/server.go
+++ b/controller/server.go
@@ -81,6 +81,7 @@
 	fleet.Handle(w, fleet.MethodReserve, s.reserve)
 	fleet.Handle(w, fleet.MethodSettle, s.settle)
 	fleet.Handle(w, fleet.MethodProgram, s.programBegun)
+	fleet.Handle(w, fleet.MethodStream, s.recordStream)
 	fleet.Handle(w, fleet.MethodContact, s.contact)
 }
 
--- a/errs/errs.go
+++ b/errs/errs.go
@@ -43,6 +43,7 @@
 	Uncertain           Code = "uncertain"
 	Unavailable         Code = "unavailable"
 	Superseded          Code = "superseded"
+	StreamNotResumable  Code = "stream_not_resumable"
 	Internal            Code = "internal"
 )
 
@@ -148,6 +149,7 @@
 	NotLeader:           http.StatusServiceUnavailable,
 	Uncertain:           http.StatusServiceUnavailable,
 	Unavailable:         http.StatusServiceUnavailable,
+	StreamNotResumable:  http.StatusServiceUnavailable,
 	Superseded:          http.StatusConflict,
 }
 
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/figlb/figlb/statemachine/ledgersm"
+)
 
 // Ids of the controllers' raft groups.
 const (
@@ -23,6 +27,7 @@
 	MethodReserve   = "ledger.reserve"
 	MethodSettle    = "ledger.settle"
 	MethodProgram   = "ledger.program"
+	MethodStream    = "ledger.stream"
 )
 
 // Kinds of hosts.
@@ -212,4 +217,6 @@
 	Spent    int64  `msgpack:"s"`
 	Reserved int64  `msgpack:"r"`
 	History  []byte `msgpack:"h,omitempty"`
+	// Source is the source of the stream that the turn begins or resumes.
+	Source ledgersm.StreamSource `msgpack:"e"`
 }
--- a/gateway/balance/choose.go
+++ b/gateway/balance/choose.go
@@ -13,6 +13,8 @@
 // Criteria describes the request that needs a target.
 type Criteria struct {
 	Service string
+	// Version restricts the choice to targets of a software version; empty: any.
+	Version string
 	// Affinity is the affinity key. Requests with the same key run faster on the same target,
 	// which has their prompt cached. Empty means no affinity.
 	Affinity string
@@ -74,9 +76,9 @@
 	}
 	perSecond := ratePerGateway(s.coldLimits[c.Service], s.gateways)
 	var ejected []*Target
-	reason = "all targets are draining, excluded or out of service"
+	reason = "all targets are draining, excluded, out of service or of another version"
 	for _, t := range all {
-		if !s.usable(t) || slices.Contains(c.Exclude, t.ID) {
+		if !s.admits(c, t) {
 			continue
 		}
 		if t.coldUntil > now && perSecond > 0 && !t.coldTokens.available(now, perSecond) {
@@ -99,6 +101,12 @@
 	return candidates, reason
 }
 
+// admits reports whether a target may take the request as far as its state, its version and the
+// targets that have failed the request are concerned. The caller holds mu.
+func (s *Set) admits(c *Criteria, t *Target) bool {
+	return s.usable(t) && (c.Version == "" || t.Version == c.Version) && !slices.Contains(c.Exclude, t.ID)
+}
+
 // slots returns the number of requests that the target runs concurrently, at least 1.
 func (t *Target) slots() float64 { return math.Max(float64(t.Slots), 1) }
 
--- a/gateway/balance/limit.go
+++ b/gateway/balance/limit.go
@@ -231,7 +231,7 @@
 	perSecond := ratePerGateway(s.coldLimits[c.Service], s.gateways)
 	for _, t := range s.byService[c.Service] {
 		switch {
-		case !t.limit.active() || !s.usable(t) || slices.Contains(c.Exclude, t.ID):
+		case !t.limit.active() || !s.admits(c, t):
 		case t.coldUntil > now && perSecond > 0 && !t.coldTokens.available(now, perSecond):
 		case t.ejectedUntil > now:
 			ejected = append(ejected, t)
--- a/gateway/balance/set.go
+++ b/gateway/balance/set.go
@@ -22,8 +22,9 @@
 	ordered    []*Target // by id
 	zonesOut   map[string]bool
 	gateways   int
-	coldLimits map[string]float64 // by service: requests per second to one cold target from all gateways
-	demands    map[string]*demand // by service
+	coldLimits map[string]float64       // by service: requests per second to one cold target from all gateways
+	demands    map[string]*demand       // by service
+	versions   map[string]*versionWatch // by service
 }
 
 // NewSet returns an empty set for a gateway in the given availability zone.
@@ -36,6 +37,7 @@
 		gateways:   1,
 		coldLimits: map[string]float64{},
 		demands:    map[string]*demand{},
+		versions:   map[string]*versionWatch{},
 	}
 }
 
@@ -54,6 +56,7 @@
 		}
 	}
 	s.rebuildIndex()
+	s.watchVersions(now)
 	return removed
 }
 
@@ -71,6 +74,7 @@
 		}
 	}
 	s.rebuildIndex()
+	s.watchVersions(now)
 	return removed
 }
 
--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -49,6 +49,7 @@
 	registerRelay(g, s, fleet.MethodReserve, c.Reserve)
 	registerRelay(g, s, fleet.MethodSettle, c.Settle)
 	registerRelay(g, s, fleet.MethodProgram, c.Program)
+	registerRelay(g, s, fleet.MethodStream, c.RecordStream)
 }
 
 // registerRelay adds a method that forwards a call of another gateway to the controllers. A
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/figlb/figlb/gateway/upstream"
 	"github.com/figlb/figlb/internal/clock"
 	"github.com/figlb/figlb/routing"
+	"github.com/figlb/figlb/statemachine/ledgersm"
 )
 
 // exchange is the handling of one caller's request, from its receipt to the end of the
@@ -30,12 +31,18 @@
 	// deadline is the clock time at which the exchange ends. It follows from the caller's
 	// deadline and the route's timeout.
 	deadline time.Duration
-	reserved bool              // tokens of the program's budget are reserved in the ledger
-	targets  []string          // ids of the targets that were tried, in order
-	version  string            // software version of the last of them
-	carriers upstream.Carriers // connections on which the request has been sent
-	status   int               // of the complete response; 0: none or an incomplete one; -1: an error of figlb
-	note     string
+	reserved bool     // tokens of the program's budget are reserved in the ledger
+	targets  []string // ids of the targets that were tried, in order
+	version  string   // software version of the last of them
+	// source is the recorded source of a resumable stream, or the one that must go on with it.
+	// sourceRevision numbers the records, and sourceRecorded gets the outcome of the last one; nil if
+	// it is known.
+	source         ledgersm.StreamSource
+	sourceRevision uint32
+	sourceRecorded <-chan error
+	carriers       upstream.Carriers // connections on which the request has been sent
+	status         int               // of the complete response; 0: none or an incomplete one; -1: an error of figlb
+	note           string
 }
 
 const (
@@ -81,6 +88,9 @@
 	if x.g.config.isBlocked(x.digest()) {
 		return errs.New(errs.RequestQuarantined, "change the request", "the request has crashed %s", "several targets")
 	}
+	if err := x.checkOrigin(); err != nil {
+		return err
+	}
 	if err := x.checkTimeLeft(); err != nil {
 		return err
 	}
@@ -92,11 +102,17 @@
 			return err
 		}
 	}
+	defer x.cancelReservation()
 	if err := x.reserveTokens(ctx); err != nil {
 		return err
 	}
+	if err := x.findSource(ctx); err != nil {
+		return err
+	}
+	if err := x.checkSourceServes(); err != nil {
+		return err
+	}
 	if err := x.checkTimeLeft(); err != nil { // the request may have waited for its admission
-		x.cancelReservation()
 		return err
 	}
 	return x.forward(ctx)
@@ -246,8 +262,14 @@
 		"resumes", origin, "version", x.version, "took_ms", took.Milliseconds(), "config", x.g.config.version(), "config_age_ms", x.g.config.age().Milliseconds(), "note", x.note}
 }
 
-// service returns the service to which the request is routed.
-func (x *exchange) service() string { return x.route.PickService(x.affinity()) }
+// service returns the service to which the request is routed: for a resumed stream the one that began
+// it.
+func (x *exchange) service() string {
+	if x.source.Service != "" {
+		return x.source.Service
+	}
+	return x.route.PickService(x.affinity())
+}
 
 // affinity returns a key that is equal for requests that run faster on the same target.
 func (x *exchange) affinity() string {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -37,15 +37,11 @@
 // forward sends the request to one target after another until one has run it, and passes its
 // response on to the caller.
 func (x *exchange) forward(ctx context.Context) error {
-	defer x.cancelReservation()
-	criteria := balance.Criteria{Service: x.service(), Connected: x.g.hasIdleConn, NonRepeatable: !x.route.Repeatable()}
-	if x.route.Sticky || x.route.Kind == routing.Streaming {
-		criteria.Affinity = x.affinity()
-	}
+	criteria := x.criteria()
 	ran := 0
 	var last sendResult
 	for n := 0; n < maxSends && ctx.Err() == nil; n++ {
-		t, err := x.acquire(ctx, &criteria)
+		t, err := x.acquireFromSource(ctx, &criteria)
 		if err != nil {
 			if len(criteria.Exclude) > 0 && sleep(ctx, allRefusedPause) {
 				criteria.Exclude = nil
@@ -71,6 +67,15 @@
 	return x.exhaustedError(ctx, last, ran)
 }
 
+// criteria returns the criteria by which the target is chosen.
+func (x *exchange) criteria() balance.Criteria {
+	c := balance.Criteria{Service: x.service(), Connected: x.g.hasIdleConn, NonRepeatable: !x.route.Repeatable()}
+	if x.route.Sticky || x.route.Kind == routing.Streaming {
+		c.Affinity = x.affinity()
+	}
+	return c
+}
+
 func (x *exchange) maxAttempts() int { return max(x.route.MaxAttempts, 1) }
 
 // cancelReservation settles the reservation with no tokens if it has not been settled yet.
@@ -112,6 +117,7 @@
 		x.g.targets.RecordResponse(clock.Now(), t)
 		return sendResult{err: err, notRun: true}
 	}
+	x.recordSource(ctx, t)
 	x.countLimitedSend(t)
 	sent := clock.Now()
 	resp, err := x.g.pool(t).Do(ctx, x.targetRequest(t))
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -52,7 +52,7 @@
 	req := &ledgersm.Reserve{
 		Org: x.org, Program: x.req.Program, Attempt: x.req.ID,
 		Budget: x.req.Budget, Tokens: x.req.MaxTokens, Retention: x.route.Retention,
-		Hold: max(x.timeLeft(), 0) + settleTimeout,
+		Hold: max(x.timeLeft(), 0) + settleTimeout, Stream: x.streamRecord(),
 	}
 	if x.route.KeepsHistory {
 		req.Previous, req.WillKeep = x.req.PreviousTurn, true
@@ -73,7 +73,12 @@
 	case ledgersm.OK:
 		x.reserved = true
 		x.history = reply.History
-		return nil
+		return x.adoptSource(reply.Source)
+	case ledgersm.UnknownStream:
+		if x.adoptSoleVersion() {
+			return x.reserveTokens(ctx) // does not ask for the source again
+		}
+		return x.adoptSource(ledgersm.StreamSource{})
 	case ledgersm.BudgetExhausted:
 		return errs.New(errs.BudgetExhausted, "begin a new program",
 			"program %q has used %d and reserved %d of %d tokens", x.req.Program, reply.Spent, reply.Reserved, x.req.Budget)
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -99,6 +99,10 @@
 
 // writeStream passes on the events of a stream as they arrive.
 func (x *exchange) writeStream(ctx context.Context, t *balance.Target, sent time.Duration, resp *upstream.Response) sendResult {
+	if err := x.awaitSource(); err != nil {
+		resp.Finish(false)
+		return sendResult{err: err}
+	}
 	rec := &eventRecorder{keepData: x.route.KeepsHistory}
 	err := x.copyEvents(resp, rec, t, sent)
 	resp.Finish(err == nil)
@@ -155,7 +159,7 @@
 // finishStream settles a completed stream. A turn with history is recorded durably before the
 // caller sees the end of the stream, as it counts as done from then on.
 func (x *exchange) finishStream(ctx context.Context, rec *eventRecorder) sendResult {
-	s := &ledgersm.Settle{Tokens: x.tokensSent(rec)}
+	s := &ledgersm.Settle{Tokens: x.tokensSent(rec), StreamEnded: x.resumable()}
 	if !x.reserved {
 		x.status, x.note = http.StatusOK, ""
 		return sendResult{responded: true}
--- a/routing/table.go
+++ b/routing/table.go
@@ -162,6 +162,16 @@
 // KeyOwner returns the organisation that owns a key, nil if there is none.
 func (t *Table) KeyOwner(key string) *Organisation { return t.byKey[key] }
 
+// Uses reports whether the route may send requests to a service.
+func (r *Route) Uses(service string) bool {
+	for _, w := range r.Services {
+		if w.Service == service && w.Weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // PickService chooses a service of the route by weight. Requests with the same key get the same
 // service, so that a program stays with one service as long as the weights don't change.
 func (r *Route) PickService(key string) string {
--- a/stateclient/fleet.go
+++ b/stateclient/fleet.go
@@ -69,6 +69,11 @@
 	return callController[ledgersm.Reply](ctx, c, fleet.LedgerGroup, fleet.MethodSettle, true, req)
 }
 
+// RecordStream records or looks up the source of a stream that belongs to no turn. It may be repeated.
+func (c *Client) RecordStream(ctx context.Context, req *ledgersm.RecordStream) (*ledgersm.Reply, error) {
+	return callController[ledgersm.Reply](ctx, c, fleet.LedgerGroup, fleet.MethodStream, true, req)
+}
+
 // ProgramBegun reports whether the ledger knows a program.
 func (c *Client) ProgramBegun(ctx context.Context, req *fleet.ProgramRequest) (bool, error) {
 	reply, err := c.Program(ctx, req)
--- a/statemachine/ledgersm/block.go
+++ b/statemachine/ledgersm/block.go
@@ -72,6 +72,7 @@
 type index struct {
 	Programs      map[string]*program `msgpack:"p"`
 	Turns         map[string]*turn    `msgpack:"t"`
+	Streams       map[string]*stream  `msgpack:"e,omitempty"`
 	Blocks        []blockEntry        `msgpack:"b"` // all blocks but the last
 	LastBlock     uint64              `msgpack:"l"`
 	LastBlockSize int                 `msgpack:"z"`
@@ -91,7 +92,7 @@
 func (m *Machine) ChunkedSnapshot() (snapshot.Snapshot, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	idx := index{Programs: m.programs, Turns: m.turns, LastBlock: m.lastBlock, LastSweep: m.lastSweep}
+	idx := index{Programs: m.programs, Turns: m.turns, Streams: m.streams, LastBlock: m.lastBlock, LastSweep: m.lastSweep}
 	out := snapshot.Snapshot{}
 	var open [][]byte
 	for _, id := range m.blockIDs() {
@@ -196,6 +197,9 @@
 		}
 		restored.programs[k] = p
 	}
+	if idx.Streams != nil {
+		restored.streams = idx.Streams
+	}
 	for k, t := range idx.Turns {
 		if err := restored.locateCommand(t); err != nil {
 			return err
@@ -204,7 +208,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.programs, m.turns, m.blocks = restored.programs, restored.turns, restored.blocks
+	m.programs, m.turns, m.streams, m.blocks = restored.programs, restored.turns, restored.streams, restored.blocks
 	m.lastBlock, m.storedBytes, m.lastSweep = restored.lastBlock, restored.storedBytes, restored.lastSweep
 	return nil
 }
--- a/statemachine/ledgersm/ledgersm_test.go
+++ b/statemachine/ledgersm/ledgersm_test.go
@@ -276,3 +276,70 @@
 		g.Expect(reply.Verdict).To(Equal(Malformed))
 	}
 }
+
+// beginStream and resumeStream reserve a turn whose stream can be resumed.
+func beginStream(m *Machine, now time.Duration, attempt, version string, revision uint32) Reply {
+	return reserveStream(m, now, attempt, StreamRecord{Source: StreamSource{Service: "lm", Version: version}, Revision: revision, Keep: 10 * time.Second})
+}
+
+func resumeStream(m *Machine, now time.Duration, attempt, origin string) Reply {
+	return reserveStream(m, now, attempt, StreamRecord{Origin: origin, Revision: 1, Keep: 10 * time.Second})
+}
+
+func reserveStream(m *Machine, now time.Duration, attempt string, r StreamRecord) Reply {
+	return apply(m, now, Command{Reserve: &Reserve{Org: "acme", Program: "p", Attempt: attempt, Budget: 100, Tokens: 10, Retention: time.Minute, Stream: &r}})
+}
+
+var _ = Describe("sources of streams", func() {
+	record := func(m *Machine, now time.Duration, org, attempt, version string, revision uint32) {
+		apply(m, now, Command{Stream: &RecordStream{Org: org, Attempt: attempt,
+			Stream: StreamRecord{Source: StreamSource{Service: "lm", Version: version}, Revision: revision, Keep: 10 * time.Second}}})
+	}
+
+	// Guards against a record that is delivered late and replaces the source of the events that the
+	// caller has got.
+	It("keep the record with the highest revision", func() {
+		m := New()
+		beginStream(m, 0, "a", "v1", 1)
+		record(m, 0, "acme", "a", "v2", 2)
+		record(m, 0, "acme", "a", "v1", 1)
+		beginStream(m, 0, "a", "v1", 1)
+		Expect(resumeStream(m, 0, "b", "a").Source).To(Equal(StreamSource{Service: "lm", Version: "v2"}))
+		Expect(resumeStream(m, 0, "c", "b").Source.Version).To(Equal("v2"), "an attempt that resumed the stream")
+	})
+
+	// Guards against streams of other organisations, and against reservations of turns that are refused.
+	It("are known to their organisation only, and nothing is reserved for an unknown one", func() {
+		m := New()
+		record(m, 0, "other", "a", "v1", 1)
+		Expect(resumeStream(m, 0, "b", "a").Verdict).To(Equal(UnknownStream))
+		Expect(reserve(m, 0, "c", 100, 100)).To(Equal(OK))
+	})
+
+	// Guards against records that accumulate, and against one that expires while its stream is resumed.
+	It("are kept as long as the caller waits, and shortly after the end of the stream", func() {
+		m := New()
+		beginStream(m, 0, "a", "v1", 1)
+		beginStream(m, 0, "ended", "v1", 1)
+		apply(m, time.Second, Command{Settle: &Settle{Org: "acme", Program: "p", Attempt: "ended", StreamEnded: true}})
+		Expect(resumeStream(m, 9*time.Second, "b", "a").Verdict).To(Equal(OK))
+		Expect(resumeStream(m, 9*time.Second, "c", "ended").Verdict).To(Equal(UnknownStream))
+		Expect(resumeStream(m, 18*time.Second, "d", "a").Verdict).To(Equal(OK))
+		reserve(m, time.Minute, "e", 100, 1)
+		Expect(m.streams).To(BeEmpty())
+	})
+
+	// Guards against a member that restarts or is caught up with a snapshot and no longer knows the sources.
+	It("are part of snapshots", func() {
+		m, restored := New(), New()
+		beginStream(m, 0, "a", "v1", 1)
+		body, err := m.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(restored.Restore(body)).To(Succeed())
+		Expect(resumeStream(restored, 0, "b", "a").Source.Version).To(Equal("v1"))
+		empty, err := New().Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(restored.Restore(empty)).To(Succeed())
+		Expect(resumeStream(restored, 0, "b", "a").Verdict).To(Equal(UnknownStream))
+	})
+})
--- a/statemachine/ledgersm/machine.go
+++ b/statemachine/ledgersm/machine.go
@@ -23,6 +23,7 @@
 	mu          sync.RWMutex
 	programs    map[string]*program
 	turns       map[string]*turn
+	streams     map[string]*stream // by attempt
 	blocks      map[uint64]*block
 	lastBlock   uint64 // id of the block that takes new turns
 	storedBytes int64  // size of all blocks
@@ -31,7 +32,7 @@
 
 // New returns an empty machine.
 func New() *Machine {
-	return &Machine{programs: map[string]*program{}, turns: map[string]*turn{}, blocks: map[uint64]*block{}}
+	return &Machine{programs: map[string]*program{}, turns: map[string]*turn{}, streams: map[string]*stream{}, blocks: map[uint64]*block{}}
 }
 
 // key returns the map key of a program or turn. It includes the organisation, so that no
@@ -61,6 +62,8 @@
 		return m.reserve(now, c.Reserve)
 	case c.Settle != nil:
 		return m.settle(now, c.Settle, cmd)
+	case c.Stream != nil:
+		return m.recordStream(now, c.Stream)
 	}
 	return Reply{Verdict: Malformed}
 }
@@ -69,11 +72,18 @@
 	if c.Previous != "" && m.turns[key(c.Org, c.Previous)] == nil {
 		return Reply{Verdict: UnknownTurn}
 	}
+	var source StreamSource
+	if c.Stream != nil {
+		var known bool
+		if source, known = m.findSource(c.Org, c.Stream); !known {
+			return Reply{Verdict: UnknownStream}
+		}
+	}
 	p := m.touchProgram(now, c.Org, c.Program, c.Retention)
 	if p.Budget == 0 {
 		p.Budget = c.Budget
 	}
-	reply := Reply{Verdict: OK, Spent: p.Spent, Reserved: p.reserved()}
+	reply := Reply{Verdict: OK, Spent: p.Spent, Reserved: p.reserved(), Source: source}
 	if _, exists := p.Reservations[c.Attempt]; exists {
 		return reply
 	}
@@ -82,6 +92,9 @@
 		return reply
 	}
 	p.Reservations[c.Attempt] = c.Tokens
+	if c.Stream != nil {
+		m.keepSource(now, c.Org, c.Attempt, c.Stream, source)
+	}
 	m.holdForTurn(now, p, c)
 	return reply
 }
@@ -103,6 +116,9 @@
 		delete(p.Reservations, c.Attempt)
 		p.Spent += c.Tokens
 	}
+	if c.StreamEnded {
+		m.endStream(now, c.Org, c.Attempt)
+	}
 	reply := Reply{Verdict: OK, Spent: p.Spent, Reserved: p.reserved()}
 	if c.Keep && !m.keepTurn(now, c, cmd) {
 		reply.Verdict = UnknownTurn
@@ -203,7 +219,7 @@
 	return m.storedBytes
 }
 
-// sweep removes expired programs and turns. It depends on the time of the replicated log only, so
+// sweep removes expired programs, turns and sources of streams. It depends on the time of the replicated log only, so
 // all members remove the same.
 func (m *Machine) sweep(now time.Duration) {
 	if now-m.lastSweep < SweepInterval {
@@ -215,6 +231,11 @@
 			delete(m.programs, k)
 		}
 	}
+	for k, s := range m.streams {
+		if s.ExpiresAt < now {
+			delete(m.streams, k)
+		}
+	}
 	for k, t := range m.turns {
 		if t.ExpiresAt < now {
 			delete(m.turns, k)
--- a/statemachine/ledgersm/types.go
+++ b/statemachine/ledgersm/types.go
@@ -9,8 +9,9 @@
 
 // Command is one command of the replicated log. Exactly one field is set.
 type Command struct {
-	Reserve *Reserve `msgpack:"r,omitempty"`
-	Settle  *Settle  `msgpack:"s,omitempty"`
+	Reserve *Reserve      `msgpack:"r,omitempty"`
+	Settle  *Settle       `msgpack:"s,omitempty"`
+	Stream  *RecordStream `msgpack:"e,omitempty"`
 }
 
 // Reserve reserves tokens of a program's budget for a turn. It is idempotent: resending it with the
@@ -28,6 +29,9 @@
 	Hold time.Duration `msgpack:"d,omitempty"`
 	// WillKeep announces that the turn will be settled with Keep set.
 	WillKeep bool `msgpack:"h,omitempty"`
+	// Stream is set if the turn's stream can be resumed. The verdict UnknownStream means that the turn
+	// resumes a stream whose source is not known; nothing is reserved then.
+	Stream *StreamRecord `msgpack:"e,omitempty"`
 }
 
 // Settle ends a reservation and records the tokens that the turn has produced. With Keep set, the
@@ -43,6 +47,8 @@
 	Input     []byte        `msgpack:"i"`
 	Output    []byte        `msgpack:"u"`
 	Retention time.Duration `msgpack:"r"`
+	// StreamEnded is set if the whole stream has been sent to the caller.
+	StreamEnded bool `msgpack:"e,omitempty"`
 }
 
 // Verdict is the outcome of a command.
@@ -54,6 +60,7 @@
 	BudgetExhausted         // the reservation would exceed the program's budget
 	UnknownTurn             // the turn to continue is not stored
 	Malformed               // the command cannot be decoded
+	UnknownStream           // the source of the stream to resume is not known
 )
 
 // Reply is the reply to a command.
@@ -63,6 +70,8 @@
 	// the verdict is based.
 	Spent    int64 `msgpack:"s"`
 	Reserved int64 `msgpack:"r"`
+	// Source is the source of the stream that the attempt begins or resumes.
+	Source StreamSource `msgpack:"e"`
 }
 
 // program is the budget of a program and its use.
