--- a/cmd/figlb-gateway/main.go
+++ b/cmd/figlb-gateway/main.go
@@ -100,5 +100,6 @@
 	if err := front.Shutdown(ctx); err != nil {
 		p.Log.Info("grace period ended with requests in flight", "reason", err.Error())
 	}
+	g.DrainTunnels(ctx)
 	p.Log.Info("drained", "took_ms", time.Since(start).Milliseconds())
 }
--- a/controller/hosts.go
+++ b/controller/hosts.go
@@ -58,6 +58,7 @@
 type hostState struct {
 	kind, zone        string
 	address           string // at which a gateway answers other gateways
+	cutOff            bool   // the gateway reaches no target directly
 	lastPoll          time.Duration
 	inFlight          map[string]int32
 	idleEventInterval map[string]float64 // time between events of idle engines by service, in ms
@@ -99,7 +100,7 @@
 		t.countHost(h, 1)
 		t.log.Info("host joined", "peer", req.Host, "kind", req.Kind, "zone", req.Zone)
 	}
-	h.zone, h.address, h.lastPoll = req.Zone, req.Address, now
+	h.zone, h.address, h.cutOff, h.lastPoll = req.Zone, req.Address, req.CutOff, now
 	t.loads.replace(h.inFlight, req.InFlight)
 	h.inFlight = req.InFlight
 	t.outcomes.add(now, req.Zone, req.Outcomes)
@@ -184,20 +185,27 @@
 	}
 }
 
-// peers returns the addresses of up to maxPeers random gateways other than the given host.
+// peers returns the addresses of up to maxPeers random gateways other than the given host, those that
+// are cut off from the targets only if there are no others.
 func (t *hostTable) peers(host string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []string
+	var out, cutOff []string
 	for name, h := range t.hosts { // map iteration order is random
-		if name != host && h.kind == fleet.KindGateway && h.address != "" {
-			out = append(out, h.address)
+		if name == host || h.kind != fleet.KindGateway || h.address == "" {
+			continue
+		}
+		if h.cutOff {
+			cutOff = append(cutOff, h.address)
+			continue
 		}
+		out = append(out, h.address)
 		if len(out) == maxPeers {
 			break
 		}
 	}
-	return out
+	out = append(out, cutOff...)
+	return out[:min(len(out), maxPeers)]
 }
 
 // setTargets switches to a new list of targets, sorted by id: it sums up the loads anew and
--- a/controller/hosts_test.go
+++ b/controller/hosts_test.go
@@ -47,6 +47,26 @@
 	g.Expect(seen).To(Equal(map[string]bool{"b:1": true, "c:1": true, "d:1": true, "e:1": true}))
 }
 
+// A gateway that is cut off from the targets uses its peers as relays. Guards against peers that are cut
+// off as well while there are others, and against no peers at all if all of them are.
+func TestPeersReachTheTargets(t *testing.T) {
+	g := NewWithT(t)
+	hosts := &hostTable{log: logr.Discard()}
+	poll := func(cutOff bool, names ...string) {
+		for _, name := range names {
+			hosts.recordPoll(1, &fleet.PollRequest{Host: name, Kind: fleet.KindGateway, Address: name + ":1", CutOff: cutOff})
+		}
+	}
+	poll(true, "a", "b", "c", "d", "e", "f")
+	g.Expect(hosts.peers("a")).To(HaveLen(maxPeers))
+	poll(false, "e", "f")
+	for range 20 {
+		g.Expect(hosts.peers("a")).To(ContainElements("e:1", "f:1"))
+	}
+	poll(false, "d")
+	g.Expect(hosts.peers("a")).To(ConsistOf("d:1", "e:1", "f:1"))
+}
+
 // Guards against hosts that are never removed, against loads of a gateway that are lost or are kept
 // after it has gone, and against a request that goes on crashing targets without being blocked.
 func TestHostTable(t *testing.T) {
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -28,6 +28,8 @@
 	MethodSettle    = "ledger.settle"
 	MethodProgram   = "ledger.program"
 	MethodStream    = "ledger.stream"
+	// MethodTunnel is a stream that a gateway serves for others: a connection to a target.
+	MethodTunnel = "fleet.tunnel"
 )
 
 // Kinds of hosts.
@@ -54,6 +56,8 @@
 	// Crashes lists digests of requests after which a target went down since the last poll.
 	Crashes []uint64 `msgpack:"c,omitempty"`
 	Leaving bool     `msgpack:"l,omitempty"` // the host is shutting down
+	// CutOff is set while a gateway reaches no target directly.
+	CutOff bool `msgpack:"x,omitempty"`
 	// Limits holds what targets have said about their request limits and the leader may not know.
 	Limits []LimitStatement `msgpack:"n,omitempty"`
 	// IdleEventInterval is the time between two stream events of an otherwise idle engine, in ms by
@@ -125,6 +129,11 @@
 	Peers []string `msgpack:"o,omitempty"`
 }
 
+// TunnelRequest asks a gateway for a connection to a target.
+type TunnelRequest struct {
+	Target string `msgpack:"t"` // address
+}
+
 // ContactReply reports whether a host is in contact with the leader.
 type ContactReply struct {
 	ReachesLeader bool `msgpack:"t"`
--- a/gateway/balance/set.go
+++ b/gateway/balance/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -217,6 +218,39 @@
 	}
 }
 
+// ForgetFailures clears what this gateway holds against targets: it was cut off from them.
+func (s *Set) ForgetFailures() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.byID {
+		t.meanFailure, t.consecutiveFailures, t.ejectionTime, t.ejectedUntil = 0, 0, 0, 0
+		t.unreportedOutcomes, t.slowness = fleet.Outcomes{}, 0
+	}
+}
+
+// RandomAddresses returns the addresses of up to n usable targets, chosen at random.
+func (s *Set) RandomAddresses(n int) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, i := range rand.Perm(len(s.ordered)) {
+		if t := s.ordered[i]; s.usable(t) {
+			out = append(out, t.Address)
+		}
+		if len(out) == n {
+			break
+		}
+	}
+	return out
+}
+
+// Lists reports whether a target is listed at an address.
+func (s *Set) Lists(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.ordered, func(t *Target) bool { return t.Address == address })
+}
+
 // Size returns the number of targets.
 func (s *Set) Size() int {
 	s.mu.Lock()
--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -37,7 +37,7 @@
 }
 
 // Register adds the methods that other gateways call: the query whether this gateway reaches
-// the leader, and the calls that it relays to the controllers.
+// the leader, the calls that it relays to the controllers, and the tunnels to targets.
 func (g *Gateway) Register(s *wire.Server) {
 	c := g.opts.Client
 	fleet.Handle(s, fleet.MethodContact, func(context.Context, *struct{}) (*fleet.ContactReply, error) {
@@ -50,6 +50,7 @@
 	registerRelay(g, s, fleet.MethodSettle, c.Settle)
 	registerRelay(g, s, fleet.MethodProgram, c.Program)
 	registerRelay(g, s, fleet.MethodStream, c.RecordStream)
+	s.HandleStream(fleet.MethodTunnel, g.acceptTunnel)
 }
 
 // registerRelay adds a method that forwards a call of another gateway to the controllers. A
--- a/gateway/contact_test.go
+++ b/gateway/contact_test.go
@@ -12,6 +12,7 @@
 	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/fleet"
 	"github.com/figlb/figlb/gateway/balance"
+	"github.com/figlb/figlb/gateway/upstream"
 	"github.com/figlb/figlb/internal/clock"
 	"github.com/figlb/figlb/routing"
 	"github.com/figlb/figlb/stateclient"
@@ -31,7 +32,8 @@
 	t.Cleanup(client.Close)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	g := &Gateway{opts: Options{Client: client}, log: logr.Discard(), ctx: ctx, metrics: newMetrics(metrics.NewRegistry())}
+	g := &Gateway{opts: Options{Client: client}, log: logr.Discard(), ctx: ctx, metrics: newMetrics(metrics.NewRegistry()),
+		links: upstream.NewLinks(upstream.LinksOptions{})}
 	g.config = &follower{g: g}
 	setLastPollAge(g, ago)
 	g.leaderContact = &leaderContact{g: g}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -61,7 +61,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{g: g, w: w, r: r, began: clock.Now()}
 	g.metrics.requests.Inc(1)
-	if g.stopping.Load() != 0 || g.leaderContact.preferOtherHosts() {
+	if g.stopping.Load() != 0 || g.leaderContact.preferOtherHosts() || g.links.Stranded() {
 		w.Header().Set("Connection", "close") // the caller's next request will use another host
 	}
 	err := x.run()
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -184,7 +184,8 @@
 		Leaving:           g.stoppingFor() > stopGracePeriod,
 		Limits:            g.targets.UnreportedLimits(now, maxLimitsPerPoll),
 		WantEventInterval: g.intervals.noneMeasured(),
-		WantPeers:         now-f.peersRequestedAt >= peersRefreshInterval || len(g.leaderContact.knownPeers()) < minPeers,
+		WantPeers:         now-f.peersRequestedAt >= peersRefreshInterval || len(g.leaderContact.knownPeers()) < minPeers || g.links.Stranded(),
+		CutOff:            g.links.CutOff(),
 	}
 	if now-f.intervalsReportedAt >= idleIntervalReportInterval {
 		f.intervalsReportedAt = now
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -31,6 +31,7 @@
 type sendResult struct {
 	err       error
 	notRun    bool // the target has not run the request and will not run it
+	cutOff    bool // this host was cut off from the target, which may have run the request
 	responded bool // the caller has received the response or part of it
 }
 
@@ -38,7 +39,7 @@
 // response on to the caller.
 func (x *exchange) forward(ctx context.Context) error {
 	criteria := x.criteria()
-	ran := 0
+	ran, lost := 0, 0 // lost counts the targets from which this host was cut off
 	var last sendResult
 	for n := 0; n < maxSends && ctx.Err() == nil; n++ {
 		t, err := x.acquireFromSource(ctx, &criteria)
@@ -60,7 +61,10 @@
 			continue
 		}
 		ran++
-		if !x.route.Repeatable() || ran >= x.maxAttempts() {
+		if last.cutOff {
+			lost++
+		}
+		if !x.route.Repeatable() || ran-lost >= x.maxAttempts() {
 			return x.targetFailedError(last.err, ran)
 		}
 	}
@@ -202,6 +206,10 @@
 		return sendResult{err: ctx.Err(), notRun: notSent}
 	}
 	full := errors.Is(err, upstream.ErrFull)
+	if x.g.links.CutOffSince(sent) {
+		x.g.log.Info("cut off from the target", "request", x.req.ID, "target", t.ID, "not_sent", notSent, "reason", err.Error(), "after_ms", (clock.Now() - sent).Milliseconds())
+		return sendResult{err: err, notRun: notSent, cutOff: true}
+	}
 	if !full {
 		x.observe(t, &balance.Outcome{Failed: true, Load: -1})
 		x.g.log.Info("target failed", "request", x.req.ID, "target", t.ID, "not_sent", notSent, "reason", err.Error(), "after_ms", (clock.Now() - sent).Milliseconds())
@@ -215,7 +223,7 @@
 // recordCancel counts a target as failed if it had not responded for a long time when the
 // request ended.
 func (x *exchange) recordCancel(t *balance.Target, sent time.Duration) {
-	if clock.Now()-sent > slowResponse {
+	if clock.Now()-sent > slowResponse && !x.g.links.CutOffSince(sent) {
 		x.observe(t, &balance.Outcome{Failed: true, Load: -1})
 	}
 }
@@ -236,9 +244,13 @@
 func (x *exchange) reportCrash(ctx context.Context, t *balance.Target) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashProbeTimeout)
 	defer cancel()
+	failedAt := clock.Now()
 	if x.g.pool(t).Reachable(ctx) {
 		return
 	}
+	if !x.g.links.ReachesOthers(ctx, failedAt) { // this host may be cut off
+		return
+	}
 	d := x.digest()
 	x.g.crashes.add(d)
 	x.g.log.Info("target is down after a request", "request", x.req.ID, "target", t.ID, "digest", d)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,10 +22,12 @@
 	Host    string
 	Zone    string
 	Address string // address on which other gateways reach this one; empty: not reachable
-	Adapter Adapter
-	Client  *stateclient.Client
-	Log     logr.Logger
-	Metrics metrics.Registry
+	// DialTarget opens connections to targets; nil: over TCP.
+	DialTarget func(ctx context.Context, addr string) (net.Conn, error)
+	Adapter    Adapter
+	Client     *stateclient.Client
+	Log        logr.Logger
+	Metrics    metrics.Registry
 }
 
 // Gateway serves callers on one host.
@@ -42,6 +45,8 @@
 	latencies     latencyBaselines
 	intervals     eventIntervals
 	turns         turnTimes
+	links         *upstream.Links
+	tunnels       upstream.Tunnels // served for other gateways
 
 	poolMu sync.Mutex
 	pools  map[string]*upstream.Pool // by target
@@ -64,10 +69,12 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.config = &follower{g: g, startedAt: clock.Now(), ready: make(chan struct{})}
 	g.leaderContact = &leaderContact{g: g}
+	g.links = g.newLinks()
 	g.admissions = newAdmission(g)
 	g.settler = newSettler(g)
 	g.wg.Go(func() { g.config.run(g.ctx) })
 	g.wg.Go(func() { g.leaderContact.run(g.ctx) })
+	g.wg.Go(func() { g.links.Run(g.ctx) })
 	return g
 }
 
@@ -95,6 +102,9 @@
 	if g.leaderContact.preferOtherHosts() {
 		return errs.New(errs.ConfigUnconfirmed, "use another host", "no leader has answered for %d ms", g.config.age().Milliseconds())
 	}
+	if g.links.Stranded() {
+		return errs.New(errs.NoTarget, "use another host", "this host reaches no target")
+	}
 	if g.targets.Size() == 0 {
 		return errs.New(errs.NoTarget, "retry later", "no list of targets has been received")
 	}
@@ -123,7 +133,7 @@
 	p := g.pools[t.ID]
 	if p == nil {
 		service := t.Service
-		p = upstream.NewPool(t.Address, func() int { return g.connLimit(service) })
+		p = upstream.NewPool(t.Address, func() int { return g.connLimit(service) }, g.links)
 		g.pools[t.ID] = p
 	}
 	return p
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -16,6 +16,7 @@
 	pollFailures metrics.Counter
 	relayed      metrics.Counter // calls of other gateways relayed to the controllers
 	onCredit     metrics.Counter // requests admitted without a token
+	tunnels      metrics.Counter // connections to targets opened for other gateways
 	// limitedFirst and limitedRepeated count the requests sent to targets that name a request
 	// limit: those sent for the first time, and those sent again after another target.
 	limitedFirst, limitedRepeated metrics.Counter
@@ -43,6 +44,7 @@
 		served:           metrics.GetOrRegisterCounter("gateway.served", r),
 		pollFailures:     metrics.GetOrRegisterCounter("gateway.poll_failures", r),
 		relayed:          metrics.GetOrRegisterCounter("gateway.relayed", r),
+		tunnels:          metrics.GetOrRegisterCounter("gateway.tunnels", r),
 		onCredit:         metrics.GetOrRegisterCounter("gateway.admitted_on_credit", r),
 		limitedFirst:     metrics.GetOrRegisterCounter("gateway.limited_sends.first", r),
 		limitedRepeated:  metrics.GetOrRegisterCounter("gateway.limited_sends.repeated", r),
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -114,7 +114,7 @@
 	case err != nil && x.note != noteStarted:
 		return x.rejectResponse(t, err)
 	case err != nil:
-		return x.abortStream(ctx, t, rec, err)
+		return x.abortStream(ctx, t, sent, rec, err)
 	}
 	return x.finishStream(ctx, rec)
 }
@@ -180,11 +180,11 @@
 
 // abortStream settles an incomplete stream and returns the error for which the connection to
 // the caller is closed.
-func (x *exchange) abortStream(ctx context.Context, t *balance.Target, rec *eventRecorder, err error) sendResult {
+func (x *exchange) abortStream(ctx context.Context, t *balance.Target, sent time.Duration, rec *eventRecorder, err error) sendResult {
 	if x.reserved {
 		x.settleAsync(&ledgersm.Settle{Tokens: x.tokensSent(rec)})
 	}
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !x.g.links.CutOffSince(sent) {
 		x.observe(t, &balance.Outcome{Failed: true, Load: -1})
 	}
 	e := errs.New(errs.TargetFailed, "resume or send the request again",
--- a/gateway/upstream/bounds_test.go
+++ b/gateway/upstream/bounds_test.go
@@ -45,7 +45,9 @@
 	return ln.Addr().String()
 }
 
-func newTestPool(addr string) *Pool { return NewPool(addr, func() int { return 4 }) }
+func newTestPool(addr string) *Pool {
+	return NewPool(addr, func() int { return 4 }, NewLinks(LinksOptions{}))
+}
 
 // newRequest returns a request to which only responses with the header "Id: own" belong.
 func newRequest() *Request {
@@ -230,7 +232,7 @@
 			_, _ = io.Copy(server, bytes.NewReader(data))
 			_ = server.Close()
 		}()
-		c := newConn(client)
+		c := newConn(client, NewLinks(LinksOptions{}), "", "")
 		resp, err := c.readResponse(newRequest())
 		if err != nil {
 			return
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -2,12 +2,12 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"math"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -73,24 +73,35 @@
 	reader    *bufio.Reader  // reads from limited
 	idleUntil time.Duration  // when an idle connection is no longer reused
 	reused    bool           // the connection has carried a request before
+	target    string         // address
+	relay     string         // address of the gateway through which the connection leads; empty: it is direct
+	// activeAt is the clock time at which the last request was sent or the last bytes were read.
+	activeAt atomic.Int64
+	// awaitsRepeatable is set while a repeatable request waits for its response.
+	awaitsRepeatable atomic.Bool
 }
 
-// dial opens a connection. Its errors have the cause ErrNotSent.
-func dial(ctx context.Context, addr string, timeout time.Duration) (*conn, error) {
-	d := net.Dialer{
-		Timeout:         timeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
-	}
-	c, err := d.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, errors.Wrap(ErrNotSent, err.Error())
-	}
-	return newConn(c), nil
+func newConn(c net.Conn, links *Links, target, relay string) *conn {
+	out := &conn{Conn: c, target: target, relay: relay}
+	out.limited = &limitedReader{r: &activityReader{conn: out, links: links}, left: math.MaxInt64}
+	out.reader = bufio.NewReaderSize(out.limited, readBufferBytes)
+	return out
+}
+
+// activityReader reads from a connection and records when bytes arrive.
+type activityReader struct {
+	conn  *conn
+	links *Links
 }
 
-func newConn(c net.Conn) *conn {
-	limited := &limitedReader{r: c, left: math.MaxInt64}
-	return &conn{Conn: c, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}
+// Read implements io.Reader.
+func (a *activityReader) Read(p []byte) (int, error) {
+	n, err := a.conn.Conn.Read(p)
+	if n > 0 {
+		a.conn.activeAt.Store(int64(clock.Now()))
+		a.links.heard(a.conn.relay != "")
+	}
+	return n, err
 }
 
 // idleAndOpen reports whether an idle connection is still open, within its idle timeout and
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -46,6 +46,7 @@
 type Pool struct {
 	addr  string
 	limit func() int
+	links *Links
 
 	mu        sync.Mutex
 	idle      []*conn
@@ -57,8 +58,8 @@
 
 // NewPool returns a pool of connections to addr. limit returns the number of connections
 // that this host may have open; it is called without the lock of the pool.
-func NewPool(addr string, limit func() int) *Pool {
-	return &Pool{addr: addr, limit: limit}
+func NewPool(addr string, limit func() int, links *Links) *Pool {
+	return &Pool{addr: addr, limit: limit, links: links}
 }
 
 // Close closes the idle connections. Connections in use are closed after their request.
@@ -91,7 +92,7 @@
 			continue
 		}
 		p.idle = slices.Delete(p.idle, i, i+1)
-		if c.idleAndOpen() {
+		if p.links.reusable(c) && c.idleAndOpen() {
 			return c
 		}
 		_ = c.Close()
@@ -129,7 +130,7 @@
 		return nil, errors.WithStack(ErrFull)
 	}
 	p.Dialed.Add(1)
-	c, err := dial(ctx, p.addr, dialTimeout)
+	c, err := p.links.dial(ctx, p.addr)
 	if err != nil {
 		p.mu.Lock()
 		p.openCount--
@@ -179,6 +180,7 @@
 		}
 	default: // the target responded before it had read the whole request
 	}
+	a.pool.links.end(a.conn)
 	a.pool.put(a.conn, idle)
 }
 
@@ -203,9 +205,13 @@
 		return nil, errors.Wrap(ErrNotSent, "the target closed the new connection")
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	p.links.begin(c)
+	c.awaitsRepeatable.Store(!req.NonRepeatable)
 	written := c.send(req)
 	resp, err := c.readResponse(req)
+	c.awaitsRepeatable.Store(false)
 	if err != nil {
+		p.links.end(c)
 		stop()
 		p.put(c, 0)
 		return nil, errors.Wrap(err, "no response")
@@ -251,7 +257,7 @@
 
 // Reachable reports whether the target accepts new connections.
 func (p *Pool) Reachable(ctx context.Context) bool {
-	c, err := dial(ctx, p.addr, dialTimeout)
+	c, err := p.links.dial(ctx, p.addr)
 	if err != nil {
 		return false
 	}
--- a/gateway/upstream/pool_test.go
+++ b/gateway/upstream/pool_test.go
@@ -23,7 +23,7 @@
 		close(asked)
 		<-release
 		return 0
-	})
+	}, NewLinks(LinksOptions{}))
 	ended := make(chan error, 1)
 	go func() {
 		_, err := p.Do(context.Background(), &Request{Method: "GET", Path: "/", Host: "h"})
@@ -74,7 +74,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			var ran atomic.Int32
-			pool := NewPool(lateCopyTarget(t, &ran), func() int { return c.limit })
+			pool := NewPool(lateCopyTarget(t, &ran), func() int { return c.limit }, NewLinks(LinksOptions{}))
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
 			var carriers Carriers
@@ -106,7 +106,7 @@
 			}
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok")
 		}
-	}), func() int { return 2 })
+	}), func() int { return 2 }, NewLinks(LinksOptions{}))
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	var carriers Carriers
--- a/wire/server.go
+++ b/wire/server.go
@@ -37,6 +37,7 @@
 	ln         net.Listener
 	handlers   map[string]Handler
 	oneWay     map[string]func(body []byte)
+	streams    map[string]StreamHandler
 	authorizer Authorizer
 	mu         sync.Mutex // guards conns and closed
 	conns      map[net.Conn]struct{}
@@ -58,6 +59,7 @@
 		ln:       ln,
 		handlers: map[string]Handler{},
 		oneWay:   map[string]func([]byte){},
+		streams:  map[string]StreamHandler{},
 		conns:    map[net.Conn]struct{}{},
 	}, nil
 }
@@ -153,6 +155,10 @@
 		if err != nil {
 			return
 		}
+		if _, ok := s.streams[f.Method]; ok {
+			sc.serveStream(ctx, f, r.Buffered() > 0)
+			return
+		}
 		sc.handleFrame(ctx, f)
 	}
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/tls"
 	"encoding/binary"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -181,3 +183,53 @@
 		Expect(pki.CreateCA(dir, "test")).To(MatchError(ContainSubstring("already")))
 	})
 })
+
+var _ = Describe("streams", func() {
+	// Guards against bytes that get lost between the reply and the stream, and against a rejected stream that
+	// looks open.
+	It("carry the bytes of both sides after the server has accepted them", func() {
+		server, err := wire.Listen("127.0.0.1:0", nil, logr.Discard())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		server.HandleStream("upper", func(_ context.Context, body []byte) (func(net.Conn), error) {
+			var allowed bool
+			if err := msgpack.Unmarshal(body, &allowed); err != nil || !allowed {
+				return nil, errs.New(errs.Overloaded, "use another host", "no room")
+			}
+			return func(c net.Conn) {
+				buf := make([]byte, 64)
+				n, _ := c.Read(buf)
+				_, _ = c.Write([]byte(strings.ToUpper(string(buf[:n]))))
+			}, nil
+		})
+		go server.Serve()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		DeferCleanup(cancel)
+
+		conn, err := wire.OpenStream(ctx, server.Addr(), nil, "upper", true)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Write([]byte("hello"))
+		Expect(err).NotTo(HaveOccurred())
+		out, err := io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(out)).To(Equal("HELLO"))
+
+		_, err = wire.OpenStream(ctx, server.Addr(), nil, "upper", false)
+		Expect(errs.Is(err, errs.Overloaded)).To(BeTrue(), "%v", err)
+		_, err = wire.OpenStream(ctx, server.Addr(), nil, "unknown", true)
+		Expect(errs.Is(err, errs.NotFound)).To(BeTrue(), "%v", err)
+	})
+
+	// Guards against a caller that waits for longer than its time for a server that does not answer.
+	It("are given up when the context ends", func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ln.Close)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		_, err = wire.OpenStream(ctx, ln.Addr().String(), nil, "upper", true)
+		Expect(err).To(HaveOccurred())
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+	})
+})
