--- a/cmd/figlb-gateway/main.go
+++ b/cmd/figlb-gateway/main.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"flag"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -31,6 +33,9 @@
 	shutdownMargin = 300 * time.Millisecond
 )
 
+// targetProxy is used by tests to cut a gateway off from the targets.
+var targetProxy = flag.String("target-proxy", "", "connect to targets through the forward proxy at this `ADDRESS`")
+
 func main() {
 	process.Main("figlb-gateway", platform.SettingsPath(), platform.LoadSettings, run)
 }
@@ -38,7 +43,7 @@
 func run(p *process.Process) error {
 	g := gateway.New(gateway.Options{
 		Host: p.Host.Name, Zone: p.Host.Zone, Address: p.Host.InternalAddress, Adapter: platform.Adapter{},
-		Client: p.Client, Log: p.Log, Metrics: p.Metrics,
+		Client: p.Client, Log: p.Log, Metrics: p.Metrics, DialTarget: dialThrough(*targetProxy),
 	})
 	defer g.Close()
 	peers, err := wire.Listen(p.Host.Listen(p.Host.InternalAddress), nil, p.Log)
@@ -74,6 +79,29 @@
 	}
 }
 
+// dialThrough returns a function that connects to targets through a forward proxy, or nil if there is
+// none. The proxy receives the address in a line and accepts with one byte.
+func dialThrough(proxy string) func(ctx context.Context, addr string) (net.Conn, error) {
+	if proxy == "" {
+		return nil
+	}
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := new(net.Dialer).DialContext(ctx, "tcp", proxy)
+		if err != nil {
+			return nil, err
+		}
+		stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+		if _, err = io.WriteString(c, addr+"\n"); err == nil {
+			_, err = io.ReadFull(c, make([]byte, 1))
+		}
+		if !stop() || err != nil {
+			_ = c.Close()
+			return nil, errors.Errorf("the proxy does not connect to %s: %v", addr, err)
+		}
+		return c, nil
+	}
+}
+
 // serveReadiness serves the readiness checks of the platform's load balancer. The returned
 // function closes the listener.
 func serveReadiness(addr string, g *gateway.Gateway) (func(), error) {
