--- a/internal/testsite/proxy.go
+++ b/internal/testsite/proxy.go
@@ -77,6 +77,9 @@
 	clear(p.conns)
 }
 
+// Up reports whether the host is not cut off.
+func (p *Proxy) Up() bool { return p.is(LinksUp) }
+
 func (p *Proxy) is(state LinkState) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -10,7 +10,7 @@
 
 // check compares the results that callers received with the requests that targets ran, and
 // fills in the report.
-func (w *workload) check(report *Report, limits []limitPeriod, evacuations []evacuation) {
+func (w *workload) check(report *Report, limits []limitPeriod, evacuations []evacuation, cuts []linkCut) {
 	w.mu.Lock()
 	attempts := w.attempts
 	w.mu.Unlock()
@@ -29,6 +29,9 @@
 	w.checkLeaving(attempts)
 	w.checkLimits(limits, byID)
 	w.checkEvacuations(evacuations, byID)
+	w.checkResumes()
+	report.Resumed = w.resumes.asked
+	report.CutOff = w.checkCuts(cuts, attempts)
 	report.Violations = w.violations
 }
 
@@ -37,11 +40,12 @@
 func (w *workload) checkAttempt(a attempt) {
 	id, r := a.call.ID, a.result
 	runs := w.site.log.RunsOf(id)
-	if a.kind != "look" && len(runs) > 1 {
+	repeatable := a.kind == "look" || a.kind == "draft"
+	if !repeatable && len(runs) > 1 {
 		w.recordViolation("RAN MORE THAN ONCE (TWICE): %s ran %d times", id, len(runs))
 	}
 	refused := r.Status == 429 || r.Status == 503 || r.Status == 402 || r.Status == 408 || r.Status == 421
-	if refused && len(runs) > 0 && a.kind != "look" {
+	if refused && len(runs) > 0 && !repeatable {
 		w.recordViolation("RAN ALTHOUGH REFUSED (REFUSED): %s was answered with status %d but ran", id, r.Status)
 	}
 	if (r.Status == 401 || r.Status == 403 || r.Status == 400) || (r.Status == 404 && a.kind != "chat") {
@@ -55,7 +59,7 @@
 			w.recordViolation("WRONG REQUEST BODY: %s ran with %q instead of %q", id, run.Body, want)
 		}
 	}
-	if r.Status == 200 && r.Complete {
+	if r.Status == 200 && r.Complete && a.kind != "draft" {
 		w.checkAnswer(a)
 	}
 }
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -40,6 +41,22 @@
 	h.busy.Store(false)
 }
 
+// calmSince reports whether no fault has stopped or resumed the host since the given time.
+func (h *host) calmSince(at time.Time) bool {
+	return !h.busy.Load() && h.lastDisturbed.Load() <= at.UnixNano()
+}
+
+// mustServe reports whether a gateway has to serve requests that were sent at a given time: it was not
+// disturbed for contactTime before and since, and it or another such gateway reaches the targets.
+func (s *site) mustServe(gateway *host, sent time.Time) bool {
+	if !gateway.calmSince(sent.Add(-contactTime)) {
+		return false
+	}
+	return slices.ContainsFunc(s.hostsOfKind("gateway"), func(h *host) bool {
+		return h.calmSince(sent.Add(-contactTime)) && h.links.Up()
+	})
+}
+
 // killHost kills the process of a random host, and with wipe deletes its data directory. The
 // returned function starts the process again.
 func (s *site) killHost(kind string, wipe bool) func() {
@@ -88,12 +105,12 @@
 // stopTimeout is longer than the shutdown grace period in the settings.
 const stopTimeout = 9 * time.Second
 
-// killAllControllers kills all controllers that no other fault holds. The returned function starts
-// them again.
-func (s *site) killAllControllers() func() {
+// killAll kills all hosts of a kind that no other fault holds. The returned function starts them again.
+func (s *site) killAll(kind string) func() {
 	var taken []*host
-	for _, h := range s.hostsOfKind("controller") {
+	for _, h := range s.hostsOfKind(kind) {
 		if h.busy.CompareAndSwap(false, true) {
+			h.lastDisturbed.Store(time.Now().UnixNano())
 			h.process.Kill()
 			taken = append(taken, h)
 		}
@@ -133,7 +150,7 @@
 	{"wipe a controller's disk", func(s *site) func() { return s.killHost("controller", true) }},
 	{"stop a gateway", func(s *site) func() { s.restartGateway(); return nil }},
 	{"reload a gateway's settings", func(s *site) func() { s.randomHost("gateway").process.Signal(syscall.SIGHUP); return nil }},
-	{"kill all controllers", func(s *site) func() { return s.killAllControllers() }},
+	{"kill all controllers", func(s *site) func() { return s.killAll("controller") }},
 	{"replace a target", func(s *site) func() {
 		all := s.allTargets()
 		t := all[s.rng.Intn(len(all))]
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -30,14 +30,16 @@
 	Attempts   int
 	Served     int
 	Turns      int
+	Resumed    int // streams that callers resumed while checkResumes counted them
+	CutOff     int // requests at cut off gateways that checkCuts judged
 	Violations []string
 	Logs       string // directory with the logs; set only if the seed failed
 }
 
 // Summary returns the report as a few lines of text.
 func (r *Report) Summary() string {
-	out := fmt.Sprintf("seed %d: %d faults, %d attempts, %d served, %d turns recorded, %d guarantees violated",
-		r.Seed, len(r.Faults), r.Attempts, r.Served, r.Turns, len(r.Violations))
+	out := fmt.Sprintf("seed %d: %d faults, %d attempts, %d served, %d turns recorded, %d streams resumed, %d requests at cut off gateways, %d guarantees violated",
+		r.Seed, len(r.Faults), r.Attempts, r.Served, r.Turns, r.Resumed, r.CutOff, len(r.Violations))
 	if len(r.Violations) > 0 {
 		out += "\n  " + strings.Join(r.Violations, "\n  ") + "\n  faults: " + strings.Join(r.Faults, "; ") + "\n  logs: " + r.Logs
 	}
@@ -55,6 +57,11 @@
 	answerSeed = 0x616e73776572
 	zoneSeed   = 0x7a6f6e65
 	longSeed   = 0x6c6f6e67
+	// draftSeed and linkSeed do the same for runDrafts and disturbGateways.
+	draftSeed = 0x6472616674
+	linkSeed  = 0x6c696e6b
+	// draftClientCount is the number of callers with streams that they resume.
+	draftClientCount = 4
 	// longClientCount is the number of callers with long turns.
 	longClientCount = 4
 )
@@ -94,20 +101,25 @@
 	for i := range longClientCount {
 		wg.Go(func() { w.runLongPrograms(ctx, rand.New(rand.NewSource(opts.Seed*1000^longSeed+int64(i))), i) })
 	}
+	for i := range draftClientCount {
+		wg.Go(func() { w.runDrafts(ctx, rand.New(rand.NewSource(opts.Seed*1000^draftSeed+int64(i))), i) })
+	}
 	faultCtx, endFaults := context.WithCancel(ctx)
 	var limits []limitPeriod
 	var evacuations []evacuation
+	var cuts []linkCut
 	var disturbing sync.WaitGroup
 	disturbing.Go(func() { limits = s.limitTargets(faultCtx, rand.New(rand.NewSource(opts.Seed^limitSeed))) })
 	disturbing.Go(func() { evacuations = w.orderZones(faultCtx, rand.New(rand.NewSource(opts.Seed^zoneSeed))) })
 	disturbing.Go(func() { s.disturbAnswers(faultCtx, rand.New(rand.NewSource(opts.Seed^answerSeed))) })
+	disturbing.Go(func() { cuts = s.disturbGateways(faultCtx, rand.New(rand.NewSource(opts.Seed^linkSeed))) })
 	s.injectFaults(time.Now().Add(opts.FaultDuration), func(f string) { report.Faults = append(report.Faults, f) })
 	endFaults()
 	disturbing.Wait()
 	w.checkRecovery()
 	cancel()
 	wg.Wait()
-	w.check(report, limits, evacuations)
+	w.check(report, limits, evacuations, cuts)
 	if w.probesServed == 0 {
 		report.Violations = append(report.Violations, "no request with the rotating key was served, so key revocation was not tested")
 	}
--- a/test/soak/site.go
+++ b/test/soak/site.go
@@ -23,6 +23,8 @@
 	gatewayCount    = 3
 	modelTargets    = 4
 	appTargets      = 3
+	// targetsPerVersion is the number of targets that are started with the same software version.
+	targetsPerVersion = 2
 	// requestRate is the admitted requests per second of each organisation. It is below the
 	// rate at which its callers send, so that each run includes requests refused at the limit.
 	requestRate = 25
@@ -36,6 +38,7 @@
 	configFile           string
 	process              *testsite.Process
 	relay                *testsite.Relay // nil if there is none
+	links                *testsite.Proxy // of a gateway to the targets; nil for other hosts
 	// busy is set while a fault stops or restarts the process. Without it, two concurrent
 	// faults would start the process twice.
 	busy atomic.Bool
@@ -131,7 +134,7 @@
 	defer s.mu.Unlock()
 	s.targetsStarted++
 	t := &standin.Target{ID: fmt.Sprint(service, "-", s.targetsStarted), Service: service, Zone: fmt.Sprint("z", s.targetsStarted%3),
-		Slots: 16, Log: &s.log, Stream: service == "lm"}
+		Slots: 16, Log: &s.log, Stream: service == "lm", Version: fmt.Sprint("v", (s.targetsStarted+1)/targetsPerVersion)}
 	if err := t.Start(fmt.Sprintf("127.%d.2.%d", s.network, s.targetsStarted%250+1)); err != nil {
 		return errors.WithStack(err)
 	}
@@ -169,7 +172,14 @@
 		return nil, errors.WithStack(err)
 	}
 	h.relay = relay
-	h.process = testsite.NewProcess(h.name, filepath.Join(s.bin, "figlb-"+kind), "-config", h.configFile, "-bind", h.bind)
+	args := []string{"-config", h.configFile, "-bind", h.bind}
+	if kind == "gateway" {
+		if h.links, err = testsite.NewProxy(); err != nil {
+			return nil, errors.WithStack(err)
+		}
+		args = append(args, "-target-proxy", h.links.Addr())
+	}
+	h.process = testsite.NewProcess(h.name, filepath.Join(s.bin, "figlb-"+kind), args...)
 	s.hosts = append(s.hosts, h)
 	return h, s.writeConfig(h)
 }
@@ -217,6 +227,9 @@
 		if h.relay != nil {
 			h.relay.Close()
 		}
+		if h.links != nil {
+			h.links.Close()
+		}
 	}
 	for _, t := range s.allTargets() {
 		t.Close()
--- a/test/soak/workload.go
+++ b/test/soak/workload.go
@@ -23,6 +23,10 @@
 	sentVersion  int
 	revokedAt    map[int]time.Time // when each generation of the rotating key was revoked
 
+	// resumes and begins count, at gateways that were not disturbed, the streams that callers have resumed
+	// and begun.
+	resumes, begins streamCount
+
 	probesServed int // not locked: only probeKeys uses it while it runs
 }
 
@@ -33,6 +37,8 @@
 	kind    string
 	result  standin.Result
 	gateway *host // receives the request
+	// mustBeServed is set if the faults are no reason for the gateway not to serve the request.
+	mustBeServed bool
 	// history is the conversation so far, which the target must receive before the body. It is
 	// set for turns only.
 	history string
@@ -79,6 +85,7 @@
 func (w *workload) send(c *standin.Caller, h *host, a attempt) standin.Result {
 	a.gateway = h
 	a.result = c.Do(context.Background(), h.address(standin.FrontPort), &a.call)
+	a.mustBeServed = w.site.mustServe(h, a.result.Sent)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.attempts = append(w.attempts, a)
