--- a/cmd/figlb-gateway/main.go
+++ b/cmd/figlb-gateway/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"flag"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/figlb/figlb/gateway"
+	"github.com/figlb/figlb/gateway/upstream"
 	"github.com/figlb/figlb/internal/httpserver"
 	"github.com/figlb/figlb/internal/process"
 	"github.com/figlb/figlb/platform"
@@ -43,7 +43,7 @@
 func run(p *process.Process) error {
 	g := gateway.New(gateway.Options{
 		Host: p.Host.Name, Zone: p.Host.Zone, Address: p.Host.InternalAddress, Adapter: platform.Adapter{},
-		Client: p.Client, Log: p.Log, Metrics: p.Metrics, DialTarget: dialThrough(*targetProxy),
+		Client: p.Client, Log: p.Log, Metrics: p.Metrics, DialTarget: upstream.DialThrough(*targetProxy),
 	})
 	defer g.Close()
 	peers, err := wire.Listen(p.Host.Listen(p.Host.InternalAddress), nil, p.Log)
@@ -79,29 +79,6 @@
 	}
 }
 
-// dialThrough returns a function that connects to targets through a forward proxy, or nil if there is
-// none. The proxy receives the address in a line and accepts with one byte.
-func dialThrough(proxy string) func(ctx context.Context, addr string) (net.Conn, error) {
-	if proxy == "" {
-		return nil
-	}
-	return func(ctx context.Context, addr string) (net.Conn, error) {
-		c, err := new(net.Dialer).DialContext(ctx, "tcp", proxy)
-		if err != nil {
-			return nil, err
-		}
-		stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-		if _, err = io.WriteString(c, addr+"\n"); err == nil {
-			_, err = io.ReadFull(c, make([]byte, 1))
-		}
-		if !stop() || err != nil {
-			_ = c.Close()
-			return nil, errors.Errorf("the proxy does not connect to %s: %v", addr, err)
-		}
-		return c, nil
-	}
-}
-
 // serveReadiness serves the readiness checks of the platform's load balancer. The returned
 // function closes the listener.
 func serveReadiness(addr string, g *gateway.Gateway) (func(), error) {
