--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -44,20 +44,16 @@
 		return nil
 	}
 	r := &ledgersm.StreamRecord{Source: x.source, Keep: x.sourceRetention(), Revision: 1}
+	x.sourceRevision = r.Revision
 	if x.resumes() {
-		if x.source.Version == "" {
-			r.Origin = x.req.Origin
-		}
+		r.Resumes, r.Origin = x.source.Version == "", x.req.Origin
 		return r
 	}
 	c := x.criteria()
-	version, ok := x.g.targets.PreferredVersion(clock.Now(), &c)
-	if !ok {
-		return nil
+	if version, ok := x.g.targets.PreferredVersion(clock.Now(), &c); ok {
+		x.source = ledgersm.StreamSource{Service: c.Service, Version: version}
+		r.Source = x.source
 	}
-	x.source = ledgersm.StreamSource{Service: c.Service, Version: version}
-	x.sourceRevision = r.Revision
-	r.Source = x.source
 	return r
 }
 
@@ -66,10 +62,11 @@
 	return min(max(x.req.Deadline, x.route.Timeout), maxDeadline) + sourceMargin
 }
 
-// checkOrigin refuses a request that resumes a stream without naming the stream's first attempt,
-// unless all targets have run the same software version for so long that they have begun it.
+// checkOrigin refuses a request that resumes a stream without naming the stream's first attempt, unless
+// it is a turn, whose program the ledger knows, or all targets have run the same software version for so
+// long that they have begun the stream.
 func (x *exchange) checkOrigin() error {
-	if !x.resumes() || x.req.Origin != "" || x.adoptSoleVersion() {
+	if !x.resumes() || x.req.Origin != "" || x.isTurn() || x.adoptSoleVersion() {
 		return nil
 	}
 	return notResumableError("the request does not name the attempt that began the stream")
@@ -101,7 +98,7 @@
 		return nil
 	}
 	if source.Version == "" {
-		return notResumableError("the source of the stream that attempt %q began is not known", x.req.Origin)
+		return notResumableError("the source of the stream is not known; it names attempt %q as its first", x.req.Origin)
 	}
 	if !x.route.Uses(source.Service) {
 		return notResumableError("service %q, which began the stream, no longer serves the route", source.Service)
@@ -160,7 +157,7 @@
 	}
 	x.source = source
 	x.sourceRevision++
-	req := &ledgersm.RecordStream{Org: x.org, Attempt: x.req.ID, Stream: ledgersm.StreamRecord{
+	req := &ledgersm.RecordStream{Org: x.org, Program: x.req.Program, Attempt: x.req.ID, Stream: ledgersm.StreamRecord{
 		Source: source, Revision: x.sourceRevision, Keep: x.sourceRetention()}}
 	done := make(chan error, 1)
 	x.sourceRecorded = done
--- a/statemachine/ledgersm/ledgersm_test.go
+++ b/statemachine/ledgersm/ledgersm_test.go
@@ -283,7 +283,7 @@
 }
 
 func resumeStream(m *Machine, now time.Duration, attempt, origin string) Reply {
-	return reserveStream(m, now, attempt, StreamRecord{Origin: origin, Revision: 1, Keep: 10 * time.Second})
+	return reserveStream(m, now, attempt, StreamRecord{Resumes: true, Origin: origin, Revision: 1, Keep: 10 * time.Second})
 }
 
 func reserveStream(m *Machine, now time.Duration, attempt string, r StreamRecord) Reply {
@@ -316,6 +316,26 @@
 		Expect(reserve(m, 0, "c", 100, 100)).To(Equal(OK))
 	})
 
+	// Guards against a caller that does not name the attempt and gets the rest from another version, and
+	// against one that is refused although its program has known one version only.
+	It("are known by the program if all its streams had the same", func() {
+		m := New()
+		beginStream(m, 0, "a", "v1", 1)
+		beginStream(m, 0, "b", "v1", 1)
+		Expect(resumeStream(m, 0, "c", "").Source.Version).To(Equal("v1"))
+		record(m, 0, "acme", "other", "v2", 1)
+		Expect(resumeStream(m, 0, "d", "").Source.Version).To(Equal("v1"), "a stream of no program")
+		apply(m, 0, Command{Stream: &RecordStream{Org: "acme", Program: "p", Attempt: "b",
+			Stream: StreamRecord{Source: StreamSource{Service: "lm", Version: "v2"}, Revision: 2, Keep: time.Second}}})
+		Expect(resumeStream(m, 0, "e", "").Verdict).To(Equal(UnknownStream), "a turn that went to another version")
+		Expect(resumeStream(m, 0, "f", "b").Source.Version).To(Equal("v2"))
+		other := New()
+		beginStream(other, 0, "a", "", 1)
+		beginStream(other, 0, "b", "v1", 1)
+		Expect(resumeStream(other, 0, "c", "").Verdict).To(Equal(UnknownStream), "a turn whose source was not known")
+		Expect(resumeStream(New(), 0, "c", "").Verdict).To(Equal(UnknownStream), "a program that is not known")
+	})
+
 	// Guards against records that accumulate, and against one that expires while its stream is resumed.
 	It("are kept as long as the caller waits, and shortly after the end of the stream", func() {
 		m := New()
--- a/statemachine/ledgersm/machine.go
+++ b/statemachine/ledgersm/machine.go
@@ -75,7 +75,7 @@
 	var source StreamSource
 	if c.Stream != nil {
 		var known bool
-		if source, known = m.findSource(c.Org, c.Stream); !known {
+		if source, known = m.findSource(c.Org, c.Program, c.Stream); !known {
 			return Reply{Verdict: UnknownStream}
 		}
 	}
@@ -93,7 +93,7 @@
 	}
 	p.Reservations[c.Attempt] = c.Tokens
 	if c.Stream != nil {
-		m.keepSource(now, c.Org, c.Attempt, c.Stream, source)
+		m.keepSource(now, c.Org, c.Program, c.Attempt, c.Stream, source)
 	}
 	m.holdForTurn(now, p, c)
 	return reply
--- a/statemachine/ledgersm/types.go
+++ b/statemachine/ledgersm/types.go
@@ -79,6 +79,10 @@
 	Budget       int64            `msgpack:"b"`
 	Spent        int64            `msgpack:"s"`
 	Reservations map[string]int64 `msgpack:"o"` // reserved tokens by attempt
+	// Source is the source of the program's streams. SourcesDiffer is set if they had several, or one that
+	// is not known.
+	Source        StreamSource `msgpack:"e"`
+	SourcesDiffer bool         `msgpack:"d,omitempty"`
 	// ExpiresAt is the time of the replicated log after which the program is removed.
 	ExpiresAt time.Duration `msgpack:"u"`
 }
