--- a/gateway/balance/limit.go
+++ b/gateway/balance/limit.go
@@ -225,6 +225,16 @@
 	return req
 }
 
+// TakesWithoutPermit reports whether a target without a request limit may take the request.
+func (s *Set) TakesWithoutPermit(now time.Duration, c *Criteria) bool {
+	unlimited := *c
+	unlimited.Limited = ExcludeLimited
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	candidates, _ := s.eligible(now, &unlimited)
+	return len(candidates) > 0
+}
+
 // limitedTargets returns the targets that name a request limit and may otherwise take the request,
 // those that are ejected apart. The caller holds mu.
 func (s *Set) limitedTargets(now time.Duration, c *Criteria) (limited, ejected []*Target) {
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -153,7 +153,11 @@
 	if !req.NoAlternative {
 		return x.acquireWithoutPermit(c)
 	}
-	x.g.scarcity.recordRefusal(clock.Now(), c.Service, reply.RetryAfter)
+	anyVersion := *c
+	anyVersion.Version = ""
+	if !x.g.targets.TakesWithoutPermit(clock.Now(), &anyVersion) {
+		x.g.scarcity.recordRefusal(clock.Now(), c.Service, reply.RetryAfter)
+	}
 	return nil, targetsLimitedError(c.Service, reply.RetryAfter)
 }
 
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -137,12 +137,16 @@
 }
 
 // acquireFromSource chooses a target of the stream's source. A stream that begins may go to a target
-// of another version if no target of the recorded one takes it.
+// of another version, and does if the recorded one has none or only some that need a permit.
 func (x *exchange) acquireFromSource(ctx context.Context, c *balance.Criteria) (*balance.Target, error) {
 	c.Version = x.source.Version
-	t, err := x.acquire(ctx, c)
-	if err == nil || c.Version == "" || x.resumes() {
-		return t, err
+	if c.Version == "" || x.resumes() {
+		return x.acquire(ctx, c)
+	}
+	if x.g.targets.TakesWithoutPermit(clock.Now(), c) {
+		if t, err := x.acquire(ctx, c); err == nil {
+			return t, nil
+		}
 	}
 	c.Version = ""
 	return x.acquire(ctx, c)
