--- a/declare/check.go
+++ b/declare/check.go
@@ -125,6 +125,7 @@
 
 func (d *decoder) checkTargets() {
 	addresses := map[string]string{}
+	d.checkSoftware()
 	for _, t := range d.decl.Targets {
 		header := "target " + t.Name
 		d.checkReference(header, "host", structs.KindHost, t.Host)
@@ -140,6 +141,25 @@
 	}
 }
 
+// checkSoftware reports targets that name no software version while others of their model do.
+func (d *decoder) checkSoftware() {
+	named := map[string]string{} // target with a software version, by model
+	for _, t := range d.decl.Targets {
+		if t.Software != "" {
+			named[t.Model] = t.Name
+		}
+	}
+	for _, t := range d.decl.Targets {
+		switch other := named[t.Model]; {
+		case t.Model == "" && t.Software != "":
+			d.reportAt("target "+t.Name, "software", "only targets of a model have a software version", "remove the key")
+		case t.Model != "" && t.Software == "" && other != "":
+			d.reportAt("target "+t.Name, "software", fmt.Sprintf("key is missing, but target %s of the same model has it", other),
+				"add it to all targets of the model, or to none")
+		}
+	}
+}
+
 func (d *decoder) checkTargetPool(header string, t structs.Target) {
 	switch {
 	case t.Model != "" && t.Service != "":
--- a/declare/decode.go
+++ b/declare/decode.go
@@ -63,6 +63,7 @@
 	Address       string `ini:"address,required"`
 	Model         string `ini:"model"`
 	Service       string `ini:"service"`
+	Software      string `ini:"software"`
 	Slots         int    `ini:"slots,min=1"`
 	ColdSlots     int    `ini:"cold_slots,min=1"`
 	ChecksFencing bool   `ini:"checks_fencing"`
@@ -179,6 +180,7 @@
 		Address:       v.Address,
 		Model:         v.Model,
 		Service:       v.Service,
+		Software:      v.Software,
 		Slots:         v.Slots,
 		ColdSlots:     v.ColdSlots,
 		ChecksFencing: v.ChecksFencing,
--- a/dispatch/config.go
+++ b/dispatch/config.go
@@ -40,7 +40,7 @@
 			drained[structs.Drain{Scope: structs.KindZone, Name: zone}] ||
 			hosts.contains(t.Host)
 		specs = append(specs, sched.TargetSpec{
-			Name: t.Name, Address: t.Address, Host: t.Host, Zone: zone,
+			Name: t.Name, Address: t.Address, Host: t.Host, Zone: zone, Software: t.Software,
 			Slots: t.Slots, ColdSlots: t.ColdSlots, OutOfService: out,
 		})
 	}
--- a/dispatch/scheduler.go
+++ b/dispatch/scheduler.go
@@ -186,11 +186,12 @@
 		}
 		w := req.Data.(*waiter)
 		w.assignment = &structs.Assignment{
-			Slot:    slot.ID,
-			Target:  slot.Target.Name,
-			Address: slot.Target.Address,
-			Term:    s.term,
-			Queued:  now - req.Enqueued,
+			Slot:     slot.ID,
+			Target:   slot.Target.Name,
+			Address:  slot.Target.Address,
+			Software: slot.Target.Software,
+			Term:     s.term,
+			Queued:   now - req.Enqueued,
 		}
 		close(w.done)
 	}
--- a/entry/fakestate_test.go
+++ b/entry/fakestate_test.go
@@ -334,7 +334,7 @@
 		if o.Kind != structs.KindTarget || msgpack.Unmarshal(o.Data, &t) != nil {
 			continue
 		}
-		if t.Pool() == req.Pool && !slices.Contains(req.Exclude, t.Name) && (best == nil || t.Name < best.Name) {
+		if t.Pool() == req.Pool && (req.Software == "" || t.Software == req.Software) && !slices.Contains(req.Exclude, t.Name) && (best == nil || t.Name < best.Name) {
 			best = &t
 		}
 	}
@@ -344,7 +344,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.assigned++
-	return &structs.Assignment{Slot: fmt.Sprint(s.assigned), Target: best.Name, Address: best.Address}, nil
+	return &structs.Assignment{Slot: fmt.Sprint(s.assigned), Target: best.Name, Address: best.Address, Software: best.Software}, nil
 }
 
 func (s *fakeScheduler) Release(_ context.Context, r *structs.ReleaseSlot) error {
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -45,6 +45,8 @@
 	pending [][]byte
 
 	answer *answerBuilder
+	// software is the version of the target that began the answer. No other continues it.
+	software string
 	// roleSent reports whether a chunk with the role has been forwarded.
 	roleSent        bool
 	triedTargets    []string
@@ -166,6 +168,9 @@
 		Exclude:        g.excludedTargets,
 		Digest:         g.digest,
 	}
+	if !g.answer.empty() {
+		req.Software = g.software
+	}
 	if t.service.Deadline > 0 {
 		req.Deadline = max(t.service.Deadline-req.ProgramAge, time.Millisecond)
 	}
@@ -208,6 +213,9 @@
 
 func (g *generation) dispatch(ctx context.Context, assignment *structs.Assignment, remaining int64) (engine.ChatResult, *engine.Failure) {
 	g.triedTargets = append(g.triedTargets, assignment.Target)
+	if g.answer.empty() {
+		g.software = assignment.Software
+	}
 	req := engine.ChatRequest{
 		Address:   assignment.Address,
 		RequestID: uuid.NewString(),
@@ -331,10 +339,10 @@
 }
 
 // prepareRetry prepares the answer for another attempt and reports whether one is possible.
-// An answer of text alone is continued. An answer with other content must start over, which
-// is only possible if no part of it has been published.
+// An answer of text alone is continued by a target with the same software. Any other must start over,
+// which is only possible if no part of it has been published.
 func (g *generation) prepareRetry() bool {
-	if g.answer.continuable() {
+	if g.answer.empty() || g.answer.continuable() && g.turn.entry.hasTarget(g.turn.service.Pool(), g.software, g.excludedTargets) {
 		return true
 	}
 	if g.turn.request.stream {
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -21,9 +21,17 @@
 	if n >= maxDispatches {
 		return false
 	}
+	if !e.hasTarget(pool, "", exclude) {
+		return false
+	}
+	e.count(metricRetries)
+	return true
+}
+
+// hasTarget reports whether a target of a pool and, unless it is empty, of a software version is left.
+func (e *Entry) hasTarget(pool, software string, exclude []string) bool {
 	for _, t := range e.config.snapshot().targets {
-		if t.Pool() == pool && !slices.Contains(exclude, t.Name) {
-			e.count(metricRetries)
+		if t.Pool() == pool && (software == "" || t.Software == software) && !slices.Contains(exclude, t.Name) {
 			return true
 		}
 	}
--- a/entry/suite_test.go
+++ b/entry/suite_test.go
@@ -103,6 +103,12 @@
 	return s
 }
 
+// startEngine starts a target of model m with a software version and declares it.
+func (b *testbed) startEngine(name, software string, h http.HandlerFunc) {
+	s := b.startTarget(name, "m", "", h)
+	b.state.set(structs.KindTarget, name, structs.Target{Name: name, Address: s.Listener.Addr().String(), Model: "m", Software: software, Slots: 8})
+}
+
 // declareService declares a service and waits until the entry knows it.
 func (b *testbed) declareService(s structs.Service) {
 	b.state.set(structs.KindService, s.Name, s)
--- a/entry/turn_test.go
+++ b/entry/turn_test.go
@@ -119,6 +119,37 @@
 		}), structs.OutcomeRefused),
 	)
 
+	ginkgo.DescribeTable("have their answers continued by their own software version only",
+		func(body, software, text string) {
+			// Guards against an answer that is joined from the text of two software versions.
+			b := newTestbed(Timing{})
+			b.startEngine("t1", "v1", func(w http.ResponseWriter, _ *http.Request) {
+				writeSSE(w, roleChunk)
+				writeSSE(w, deltaChunk("Hel"))
+				crash()
+			})
+			b.startEngine("t2", "v2", good)
+			b.startEngine("t3", software, good)
+			b.waitForConfig()
+			_, got := b.chat(body, nil)
+			b.scheduler.mu.Lock()
+			defer b.scheduler.mu.Unlock()
+			if text == "" {
+				Expect(streamedText(got)).To(Equal("Hel"))
+				Expect(errorOf(got)).To(And(HaveKeyWithValue("code", "target_failed"), HaveKeyWithValue("run", "unknown")))
+				Expect(b.scheduler.assigns).To(HaveLen(1))
+				return
+			}
+			Expect(got).To(ContainSubstring(text))
+			Expect(b.scheduler.assigns).To(HaveLen(2))
+			Expect(b.scheduler.releases[1].Target).To(Equal(map[string]string{"v1": "t3", "v2": "t2"}[software]))
+		},
+		ginkgo.Entry("if a target with it is left", streamBody, "v1", `"lo"`),
+		ginkgo.Entry("if a target with it is left, and the answer is sent as a whole", nonStreamingBody, "v1", `"content":"Hello"`),
+		ginkgo.Entry("or end, if none is left", streamBody, "v2", ""),
+		ginkgo.Entry("or start over, if none is left and nothing was sent", nonStreamingBody, "v2", `"content":"Hello"`),
+	)
+
 	ginkgo.It("cause no automatic resend and no automatic redirect", func() {
 		// Guards against the automatic resend of net/http when a reused connection breaks.
 		var requests atomic.Int32
--- a/sched/baseline.go
+++ b/sched/baseline.go
@@ -14,7 +14,7 @@
 		var best *Target
 		bestLoad := 0.0
 		for _, t := range v.Targets {
-			if t.Free(v.Now) <= 0 || r.blocked(t.Name) {
+			if t.Free(v.Now) <= 0 || r.blocked(t) {
 				continue
 			}
 			load := float64(t.InUse()) / float64(t.Limit(v.Now))
@@ -35,7 +35,7 @@
 		for i := range v.Targets {
 			at := (p.next + i) % len(v.Targets)
 			t := v.Targets[at]
-			if t.Free(v.Now) > 0 && !r.blocked(t.Name) {
+			if t.Free(v.Now) > 0 && !r.blocked(t) {
 				p.next = at + 1
 				return t
 			}
@@ -83,7 +83,7 @@
 	var best *Target
 	var bestHash uint64
 	for _, t := range v.Targets {
-		if t.Limit(v.Now) == 0 || r.blocked(t.Name) {
+		if t.Limit(v.Now) == 0 || r.blocked(t) {
 			continue
 		}
 		h := xxhash.Sum64String(t.Name + "/" + r.Program)
--- a/sched/fair.go
+++ b/sched/fair.go
@@ -190,7 +190,7 @@
 	p.candidates = p.candidates[:0]
 	var lowest time.Duration
 	for _, t := range v.Targets {
-		if t.Free(v.Now) <= 0 || r.blocked(t.Name) {
+		if t.Free(v.Now) <= 0 || r.blocked(t) {
 			continue
 		}
 		c := candidate{target: t, estimate: v.estimatedTime(r, t, cachedTokens[t])}
@@ -252,7 +252,7 @@
 func (p *Fair) bestWait(v *View, r *Request, cachedTokens map[*Target]int64, elsewhere time.Duration) (candidate, bool) {
 	var best candidate // within the loop, its estimate is the time gained by waiting
 	for t, tokens := range cachedTokens {
-		if t.Limit(v.Now) == 0 || t.Free(v.Now) > 0 || r.blocked(t.Name) || r.parkedUntil > 0 {
+		if t.Limit(v.Now) == 0 || t.Free(v.Now) > 0 || r.blocked(t) || r.parkedUntil > 0 {
 			continue
 		}
 		wait, ok := t.timeToFreeSlot(v.Now, t.parked)
--- a/sched/fair_test.go
+++ b/sched/fair_test.go
@@ -37,6 +37,11 @@
 	Entry("not a target that has already failed this request",
 		completeOnTarget("t1", structs.AssignRequest{Program: "p", PromptTokens: 5000}),
 		structs.AssignRequest{Program: "p", PromptTokens: 5500, Exclude: []string{"t1"}}, "t0"),
+	Entry("not a target of another software version than the one that began the answer",
+		func(p *testPool) {
+			p.SetTargets(p.now, []TargetSpec{{Name: "t0", Slots: 8, Software: "v1"}, {Name: "t1", Slots: 8, Software: "v2"}})
+		},
+		structs.AssignRequest{PromptTokens: 500, Software: "v2", Zone: "z0"}, "t1"),
 	Entry("not a target that has evicted the program from its cache",
 		func(p *testPool) {
 			completeOnTarget("t1", structs.AssignRequest{Program: "p", PromptTokens: 5000})(p)
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -75,11 +75,11 @@
 // Targets returns the targets in order of name.
 func (p *Pool) Targets() []*Target { return p.view.Targets }
 
-// HasTargetFor reports whether there is any target, neither out of service nor down, that has not
-// failed r and may serve it once it has a free slot.
+// HasTargetFor reports whether there is any target, neither out of service nor down, that may
+// serve r once it has a free slot.
 func (p *Pool) HasTargetFor(r *Request) bool {
 	for _, t := range p.view.Targets {
-		if !t.OutOfService && !t.down && !r.excludes(t.Name) {
+		if !t.OutOfService && !t.down && !r.rejects(t) {
 			return true
 		}
 	}
--- a/sched/target.go
+++ b/sched/target.go
@@ -45,6 +45,7 @@
 // TargetSpec is the configuration of a target.
 type TargetSpec struct {
 	Name, Address, Host, Zone string
+	Software                  string // version; empty if it is not declared
 	Slots, ColdSlots          int
 	// OutOfService is set if the target, its host or its availability zone is drained or leaving;
 	// the target then gets no new requests.
--- a/sched/types.go
+++ b/sched/types.go
@@ -40,8 +40,13 @@
 	return false
 }
 
-// blocked reports whether the request must not be assigned to the named target now.
-func (r *Request) blocked(name string) bool { return r.excludes(name) || r.AvoidTargets[name] > 0 }
+// rejects reports whether the request must never be assigned to the target.
+func (r *Request) rejects(t *Target) bool {
+	return r.Software != "" && r.Software != t.Software || r.excludes(t.Name)
+}
+
+// blocked reports whether the request must not be assigned to the target now.
+func (r *Request) blocked(t *Target) bool { return r.rejects(t) || r.AvoidTargets[t.Name] > 0 }
 
 // weight returns the organisation's weight, at least 1.
 func (r *Request) weight() float64 { return float64(max(r.Weight, 1)) }
--- a/statemachine/configsm/check.go
+++ b/statemachine/configsm/check.go
@@ -70,6 +70,21 @@
 			return err
 		}
 	}
+	return checkSoftware(d.Targets)
+}
+
+// checkSoftware checks that of the targets of a model either all name their software version, or none.
+func checkSoftware(targets []structs.Target) *errs.Error {
+	first := map[string]*structs.Target{} // by model
+	for i := range targets {
+		t := &targets[i]
+		if first[t.Model] == nil {
+			first[t.Model] = t
+		}
+		if other := first[t.Model]; t.Model != "" && (t.Software == "") != (other.Software == "") {
+			return invalidDeclaration("one of the targets %q and %q of model %q names its software version, the other does not", t.Name, other.Name, t.Model)
+		}
+	}
 	return nil
 }
 
--- a/statemachine/configsm/configsm_test.go
+++ b/statemachine/configsm/configsm_test.go
@@ -70,6 +70,13 @@
 	return d
 }
 
+// withTarget returns the declaration with a further target.
+func withTarget(t structs.Target) structs.Declaration {
+	d := declaration()
+	d.Targets = append(d.Targets, t)
+	return d
+}
+
 func apply(from uint64, d structs.Declaration) structs.ConfigCommand {
 	return structs.ConfigCommand{Apply: &structs.ApplyConfig{PlannedFrom: from, Declaration: d}}
 }
@@ -141,6 +148,8 @@
 	Entry("a declaration with a duplicate name", apply(5, declaration("x", "x")), errs.InvalidDeclaration, "twice"),
 	Entry("a host in an undeclared availability zone",
 		apply(5, structs.Declaration{Hosts: []structs.Host{{Name: "h", Zone: "nowhere"}}}), errs.InvalidDeclaration, "nowhere"),
+	Entry("a software version that only one of two targets of a model names",
+		apply(5, withTarget(structs.Target{Name: "t2", Host: "h1", Model: "m1", Software: "v2"})), errs.InvalidDeclaration, `"t2" and "t1"`),
 	Entry("a key of an unknown organisation", grantKey("k9", "h9", "nobody"), errs.NotFound, "nobody"),
 	Entry("a key without a hash", grantKey("k9", "", "acme"), errs.BadRequest, "incomplete"),
 	Entry("a revoked key granted again", grantKey("k2", "hash2", "acme"), errs.KeyRevoked, "for ever"),
--- a/structs/config.go
+++ b/structs/config.go
@@ -115,6 +115,9 @@
 	// Exactly one of Model and Service is set.
 	Model   string `msgpack:"m,omitempty" json:"model,omitempty"`
 	Service string `msgpack:"s,omitempty" json:"service,omitempty"`
+	// Software is the version of the software that the target runs. An answer that breaks off is
+	// continued only at targets with the same one. Either all targets of a model name it, or none.
+	Software string `msgpack:"w,omitempty" json:"software,omitempty"`
 	// Slots is the number of concurrent requests when the target is warm, ColdSlots the
 	// number during its cold start.
 	Slots     int `msgpack:"l" json:"slots"`
--- a/structs/sched.go
+++ b/structs/sched.go
@@ -31,6 +31,8 @@
 	PrefixTokens []int64 `msgpack:"h,omitempty"`
 	// Exclude lists targets on which this request has failed.
 	Exclude []string `msgpack:"x,omitempty"`
+	// Software restricts the request to targets of a software version; empty: any.
+	Software string `msgpack:"b,omitempty"`
 	// Digest identifies the request's content; it is used to detect requests that crash
 	// targets.
 	Digest string `msgpack:"u,omitempty"`
@@ -41,6 +43,8 @@
 	Slot    string `msgpack:"s"`
 	Target  string `msgpack:"t"`
 	Address string `msgpack:"a"`
+	// Software is the version of the target's software; empty if it is not declared.
+	Software string `msgpack:"b,omitempty"`
 	// Term is the scheduler's term. Entries report slots of an older term again.
 	Term   uint64        `msgpack:"r"`
 	Queued time.Duration `msgpack:"q"`
