--- a/test/soak/link_cuts.go
+++ b/test/soak/link_cuts.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"math/rand"
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/figlb/figlb/internal/testsite"
+	"github.com/figlb/figlb/platform/standin"
 )
 
 // linkCut is a period in which one gateway was cut off from all targets.
@@ -65,7 +68,7 @@
 func (w *workload) checkCuts(cuts []linkCut, attempts []attempt) (judged int) {
 	var cutOff, others streamCount
 	for _, a := range attempts {
-		if !a.mustBeServed || a.result.Status == 429 || a.result.Status == 402 || a.call.LastEvent > 0 {
+		if !a.mustBeServed || a.result.Status == 429 || a.result.Status == 402 || a.call.LastEvent > 0 || refusedAsOverloaded(&a.result) {
 			continue
 		}
 		served := a.result.Status == 200
@@ -84,6 +87,14 @@
 	return cutOff.asked
 }
 
+// refusedAsOverloaded reports whether a gateway has refused a request because of the targets' request limits
+// or pace, both of which the soak varies regardless of cuts. Requests that no target took are refused with the
+// same code, so the text decides.
+func refusedAsOverloaded(r *standin.Result) bool {
+	return r.Status == http.StatusServiceUnavailable &&
+		(strings.Contains(r.Body, "all targets are at the request limit that they name") || strings.Contains(r.Body, "of its slots are occupied and events take"))
+}
+
 // cutAt reports whether the gateway had been cut off for contactTime at a moment.
 func (h *host) cutAt(cuts []linkCut, at time.Time) bool {
 	for _, c := range cuts {
