fleet, ledgersm: messages for bodies of turns on store hosts

Cause: the store side and the ledger side are built at the same time and need the same messages. Change: message types only; new fields are omitted while empty, so reads what it read before.

--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -66,6 +66,10 @@
 	// WantEventInterval and WantPeers request IdleEventInterval and Peers in the reply.
 	WantEventInterval bool `msgpack:"ep,omitempty"`
 	WantPeers         bool `msgpack:"op,omitempty"`
+	// Store is set by store hosts that hold bodies of turns.
+	Store *StoreReport `msgpack:"st,omitempty"`
+	// Features holds the features that the host understands, such as FeatureBodies.
+	Features uint64 `msgpack:"fe,omitempty"`
 }
 
 // KnownVersions identifies the version of each item that a host holds and that polls keep up to
@@ -79,6 +83,8 @@
 	Blocked      uint64 `msgpack:"b"` // digest of the blocked requests
 	// LimitVersion identifies the statements about request limits.
 	LimitVersion LimitVersion `msgpack:"lv"`
+	// Stores is the revision of the StoreView.
+	Stores uint64 `msgpack:"sv,omitempty"`
 }
 
 // Update records what a reply has brought up to date. The host itself updates Version and
@@ -96,6 +102,9 @@
 	if reply.Limits != nil {
 		h.LimitVersion = reply.Limits.Version
 	}
+	if reply.Stores != nil {
+		h.Stores = reply.Stores.Revision
+	}
 }
 
 // PollReply holds what has changed for the polling host.
@@ -127,6 +136,10 @@
 	// Peers holds the addresses of a few other gateways, chosen at random. It is sent if
 	// requested by WantPeers.
 	Peers []string `msgpack:"o,omitempty"`
+	// Stores is the view of the store hosts; nil: unchanged.
+	Stores *StoreView `msgpack:"st,omitempty"`
+	// BodiesToStores is set while gateways store the bodies of turns on store hosts.
+	BodiesToStores bool `msgpack:"bs,omitempty"`
 }
 
 // TunnelRequest asks a gateway for a connection to a target.
@@ -226,6 +239,9 @@
 	Spent    int64  `msgpack:"s"`
 	Reserved int64  `msgpack:"r"`
 	History  []byte `msgpack:"h,omitempty"`
+	// Parts holds the history by turns, oldest first. It is set in place of History if at least one turn
+	// is kept on store hosts.
+	Parts []HistoryPart `msgpack:"hp,omitempty"`
 	// Source is the source of the stream that the turn begins or resumes.
 	Source ledgersm.StreamSource `msgpack:"e"`
 }
--- a/statemachine/ledgersm/types.go
+++ b/statemachine/ledgersm/types.go
@@ -32,6 +32,15 @@
 	// Stream is set if the turn's stream can be resumed. The verdict UnknownStream means that the turn
 	// resumes a stream whose source is not known; nothing is reserved then.
 	Stream *StreamRecord `msgpack:"e,omitempty"`
+	// AcceptsParts is set if the sender can read bodies of turns from store hosts.
+	AcceptsParts bool `msgpack:"c,omitempty"`
+}
+
+// BodyRef refers to the body of a turn, its input and output, on store hosts.
+type BodyRef struct {
+	Key      string `msgpack:"k"`
+	Size     int64  `msgpack:"s"` // of input and output, in bytes
+	Checksum uint64 `msgpack:"c"` // xxhash of the input followed by the output
 }
 
 // Settle ends a reservation and records the tokens that the turn has produced. With Keep set, the
@@ -49,6 +58,8 @@
 	Retention time.Duration `msgpack:"r"`
 	// StreamEnded is set if the whole stream has been sent to the caller.
 	StreamEnded bool `msgpack:"e,omitempty"`
+	// Body refers to the turn's input and output on store hosts; Input and Output are empty then.
+	Body *BodyRef `msgpack:"b,omitempty"`
 }
 
 // Verdict is the outcome of a command.
