--- a/controller/hosts.go
+++ b/controller/hosts.go
@@ -17,17 +17,10 @@
 	hostTimeout = 4 * time.Second
 	// settleTime is the time after which a new leader has received a poll from every live host.
 	settleTime = 2 * time.Second
-	// crashLimit is the number of reported target crashes from which a request is blocked: all
-	// gateways refuse it.
-	crashLimit = 3
 	// maxPeers is the number of other gateways that a gateway is told of, so that it can ask them
 	// whether they reach the leader. It is more than one, because a peer may be cut off as well.
 	maxPeers = 3
-	// crashRetention is how long the crashes of a request are kept after the last one.
-	crashRetention = 2 * time.Minute
-	// maxCrashRecords limits the number of request digests for which crashes are kept.
-	maxCrashRecords = 4096
-	// expireInterval is the time between two scans for expired hosts and crash records.
+	// expireInterval is the time between two scans for expired hosts.
 	expireInterval = 100 * time.Millisecond
 	// loadBytesPerSecond limits the rate at which a host is sent the loads of the targets, one
 	// byte for each target. With 2,800 targets, the size that the design aims at, every third poll
@@ -36,7 +29,7 @@
 )
 
 // hostTable holds what the leader knows of the hosts that poll it. The hosts and their loads are
-// cleared in a new term; crash records and request outcomes are kept.
+// cleared in a new term; request outcomes are kept.
 type hostTable struct {
 	log logr.Logger
 
@@ -44,15 +37,12 @@
 	term      uint64
 	termStart time.Duration
 	hosts     map[string]*hostState
-	crashes   map[uint64]*crashRecord
 	// gateways is the number of hosts that are gateways.
-	gateways int
-	loads    loadTable
-	outcomes outcomeTable
-	// blocked holds the sorted digests of the requests that all gateways refuse.
-	blocked       []uint64
-	blockedDigest uint64
-	lastExpiry    time.Duration
+	gateways   int
+	loads      loadTable
+	outcomes   outcomeTable
+	blocked    blockedRequests
+	lastExpiry time.Duration
 }
 
 type hostState struct {
@@ -66,12 +56,6 @@
 	loadsSentAt time.Duration
 }
 
-// crashRecord counts the target crashes that were reported for one request.
-type crashRecord struct {
-	count     int
-	lastCrash time.Duration
-}
-
 // startTerm clears the hosts and loads if the term is new. The caller holds mu.
 func (t *hostTable) startTerm(term uint64, now time.Duration) {
 	if t.term == term && t.hosts != nil {
@@ -81,9 +65,6 @@
 	t.hosts = map[string]*hostState{}
 	t.gateways = 0
 	t.loads.clear()
-	if t.crashes == nil {
-		t.crashes = map[uint64]*crashRecord{}
-	}
 	t.log.Info("host table cleared for a new term", "term", term)
 }
 
@@ -107,9 +88,6 @@
 	if len(req.IdleEventInterval) > 0 {
 		h.idleEventInterval = req.IdleEventInterval
 	}
-	for _, d := range req.Crashes {
-		t.recordCrash(d, now)
-	}
 	if req.Leaving {
 		t.remove(req.Host, h)
 		t.log.Info("host left", "peer", req.Host)
@@ -131,38 +109,7 @@
 	delete(t.hosts, name)
 }
 
-// recordCrash counts a target crash that is reported for the request with the given digest, and
-// blocks the request once the count reaches crashLimit.
-func (t *hostTable) recordCrash(digest uint64, now time.Duration) {
-	c := t.crashes[digest]
-	if c == nil && len(t.crashes) >= maxCrashRecords {
-		return
-	}
-	if c == nil {
-		c = &crashRecord{}
-		t.crashes[digest] = c
-	}
-	c.count++
-	c.lastCrash = now
-	if c.count == crashLimit {
-		t.updateBlocked()
-	}
-	t.log.Info("target crashed while it ran a request", "digest", digest, "count", c.count, "blocked", c.count >= crashLimit)
-}
-
-// updateBlocked recomputes the list of blocked requests.
-func (t *hostTable) updateBlocked() {
-	t.blocked = nil
-	for d, c := range t.crashes {
-		if c.count >= crashLimit {
-			t.blocked = append(t.blocked, d)
-		}
-	}
-	slices.Sort(t.blocked)
-	t.blockedDigest = fleet.DigestNumbers(t.blocked)
-}
-
-// expire removes hosts that have stopped polling and crash records past their retention.
+// expire removes hosts that have stopped polling.
 func (t *hostTable) expire(now time.Duration) {
 	if now-t.lastExpiry < expireInterval {
 		return
@@ -174,15 +121,6 @@
 			t.log.Info("host timed out", "peer", name, "silent_ms", (now - h.lastPoll).Milliseconds())
 		}
 	}
-	for d, c := range t.crashes {
-		if now-c.lastCrash <= crashRetention {
-			continue
-		}
-		delete(t.crashes, d)
-		if c.count >= crashLimit {
-			t.updateBlocked()
-		}
-	}
 }
 
 // peers returns the addresses of up to maxPeers random gateways other than the given host, those that
@@ -232,8 +170,8 @@
 	defer t.mu.Unlock()
 	reply.Gateways = t.gateways
 	reply.FailurePercent = t.outcomes.failingTargets(now, req.Zone)
-	if t.blockedDigest != req.Blocked {
-		reply.Blocked, reply.BlockedChanged = t.blocked, true
+	if t.blocked.digest != req.Blocked {
+		reply.Blocked, reply.BlockedChanged = t.blocked.digests, true
 	}
 	interval := t.loads.sendInterval()
 	if reply.Limits != nil {
--- a/controller/hosts_test.go
+++ b/controller/hosts_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/figlb/figlb/fleet"
+	"github.com/figlb/figlb/statemachine/documentsm"
 )
 
 // A restarted gateway learns the event interval of idle engines from the others. Guards against
@@ -74,8 +75,12 @@
 	const digest = 5
 	table := hostTable{log: logr.Discard()}
 	table.setTargets(digest, []fleet.Target{{ID: "t1"}})
+	document := documentsm.New()
 	poll := func(host, kind string, load int32, crashes ...uint64) {
-		table.recordPoll(3, &fleet.PollRequest{Host: host, Kind: kind, InFlight: map[string]int32{"t1": load}, Crashes: crashes})
+		table.recordPoll(3, &fleet.PollRequest{Host: host, Kind: kind, InFlight: map[string]int32{"t1": load}})
+		applyCrashes(g, document, 0, host, 0, crashes...)
+		state := document.Get()
+		table.updateBlocked(&state)
 	}
 	poll("g1", fleet.KindGateway, 2, 77)
 	poll("g2", fleet.KindGateway, 5, 77, 88)
--- a/controller/poll.go
+++ b/controller/poll.go
@@ -12,15 +12,17 @@
 
 // poll confirms a host's configuration or returns what has changed. Only a leader with an
 // unexpired lease answers, so a confirmed version was the newest when the poll was sent.
-func (s *Server) poll(_ context.Context, req *fleet.PollRequest) (*fleet.PollReply, error) {
+func (s *Server) poll(ctx context.Context, req *fleet.PollRequest) (*fleet.PollReply, error) {
 	if err := s.requireLeader(fleet.DocumentGroup); err != nil {
 		return nil, err
 	}
+	crashesRecorded := s.recordCrashes(ctx, req)
 	_, term := s.opts.Node.Leader(fleet.DocumentGroup)
 	s.hosts.recordPoll(term, req)
 	s.limits.report(clock.Now(), term, req.Limits)
 	state := s.opts.Document.Get()
-	reply := &fleet.PollReply{Version: state.Version, ZoneRevision: state.ZoneRevision}
+	s.hosts.updateBlocked(&state)
+	reply := &fleet.PollReply{Version: state.Version, ZoneRevision: state.ZoneRevision, CrashesNotRecorded: !crashesRecorded}
 	if members := slices.Sorted(slices.Values(s.opts.Node.Members())); fleet.DigestStrings(members) != req.Members {
 		reply.Members = members
 	}
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -55,7 +55,9 @@
 	Want map[string]float64 `msgpack:"w,omitempty"`
 	// Crashes lists digests of requests after which a target went down since the last poll.
 	Crashes []uint64 `msgpack:"c,omitempty"`
-	Leaving bool     `msgpack:"l,omitempty"` // the host is shutting down
+	// CrashReport is the id of the report in Crashes. A host that repeats the report uses it again.
+	CrashReport uint64 `msgpack:"cr,omitempty"`
+	Leaving     bool   `msgpack:"l,omitempty"` // the host is shutting down
 	// CutOff is set while a gateway reaches no target directly.
 	CutOff bool `msgpack:"x,omitempty"`
 	// Limits holds what targets have said about their request limits and the leader may not know.
@@ -136,6 +138,8 @@
 	// Peers holds the addresses of a few other gateways, chosen at random. It is sent if
 	// requested by WantPeers.
 	Peers []string `msgpack:"o,omitempty"`
+	// CrashesNotRecorded is set if the crash report may be lost and has to be repeated.
+	CrashesNotRecorded bool `msgpack:"cn,omitempty"`
 	// Stores is the view of the store hosts; nil: unchanged.
 	Stores *StoreView `msgpack:"st,omitempty"`
 	// BodiesToStores is set while gateways store the bodies of turns on store hosts.
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,10 +10,13 @@
 // maxCrashReports bounds the digests that are kept for the next poll. Further ones are dropped.
 const maxCrashReports = 256
 
-// crashReports collects the digests of requests after which a target went down.
+// crashReports collects the digests of requests after which a target went down, until a poll has
+// reported them. A report is repeated under the same id until the controllers have recorded it.
 type crashReports struct {
-	mu      sync.Mutex
-	digests []uint64
+	mu       sync.Mutex
+	digests  []uint64
+	id       uint64   // of the report under way; 0: none
+	reported []uint64 // the digests of the report under way
 }
 
 func (c *crashReports) add(digest uint64) {
@@ -23,13 +27,23 @@
 	}
 }
 
-// take returns the collected digests and starts anew.
-func (c *crashReports) take() []uint64 {
+// report returns the report under way, or else a new one of what has been collected.
+func (c *crashReports) report() (id uint64, digests []uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := c.digests
-	c.digests = nil
-	return out
+	if c.id == 0 && len(c.digests) > 0 {
+		c.id, c.reported, c.digests = max(rand.Uint64(), 1), c.digests, nil
+	}
+	return c.id, c.reported
+}
+
+// recorded ends a report that the controllers have recorded.
+func (c *crashReports) recorded(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.id == id {
+		c.id, c.reported = 0, nil
+	}
 }
 
 // digest identifies the content of a request. It is equal for all attempts of the request.
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -168,8 +168,7 @@
 	f.applyReply(sent, req, reply)
 }
 
-// pollRequest builds the next poll. It takes the outcomes and crash reports collected since the
-// last one.
+// pollRequest builds the next poll. It takes the outcomes collected since the last one.
 func (f *follower) pollRequest() *fleet.PollRequest {
 	g := f.g
 	now := clock.Now()
@@ -180,13 +179,13 @@
 		InFlight:          g.targets.InFlight(),
 		Outcomes:          g.targets.TakeOutcomes(),
 		Want:              g.admissions.pollDemand(),
-		Crashes:           g.crashes.take(),
 		Leaving:           g.stoppingFor() > stopGracePeriod,
 		Limits:            g.targets.UnreportedLimits(now, maxLimitsPerPoll),
 		WantEventInterval: g.intervals.noneMeasured(),
 		WantPeers:         now-f.peersRequestedAt >= peersRefreshInterval || len(g.leaderContact.knownPeers()) < minPeers || g.links.Stranded(),
 		CutOff:            g.links.CutOff(),
 	}
+	req.CrashReport, req.Crashes = g.crashes.report()
 	if now-f.intervalsReportedAt >= idleIntervalReportInterval {
 		f.intervalsReportedAt = now
 		req.IdleEventInterval = g.intervals.idleIntervals()
@@ -207,6 +206,9 @@
 // older one, or a configuration or list of targets that cannot be decoded.
 func (f *follower) applyReply(sent time.Duration, req *fleet.PollRequest, reply *fleet.PollReply) {
 	g := f.g
+	if !reply.CrashesNotRecorded {
+		g.crashes.recorded(req.CrashReport)
+	}
 	g.opts.Client.SetMembers(reply.Members)
 	if req.WantPeers {
 		f.peersRequestedAt = sent
--- a/statemachine/documentsm/machine.go
+++ b/statemachine/documentsm/machine.go
@@ -14,6 +14,8 @@
 type Command struct {
 	Put  *Put        `msgpack:"p,omitempty"`
 	Zone *ZoneChange `msgpack:"z,omitempty"`
+	// Crashes is ignored by builds that keep crash records in the leader's memory.
+	Crashes *CrashReport `msgpack:"c,omitempty"`
 }
 
 // Put replaces the document if its version is higher than the stored one.
@@ -51,6 +53,12 @@
 	// ZoneOrders is the number of executed orders by availability zone, those included that changed
 	// nothing.
 	ZoneOrders map[string]uint64 `msgpack:"n"`
+	// Crashes counts the target crashes by digest of the request after which they came.
+	Crashes map[uint64]CrashRecord `msgpack:"k,omitempty"`
+	// CrashReports holds the id of the last report of each host, so that a repeated report counts once.
+	CrashReports map[string]uint64 `msgpack:"kr,omitempty"`
+	// CrashRevision is the number of changes of Crashes.
+	CrashRevision uint64 `msgpack:"kv,omitempty"`
 }
 
 // Machine implements replica.StateMachine.
@@ -66,7 +74,7 @@
 
 // Apply executes an encoded command and returns the encoded Reply, or nil if the command cannot be
 // decoded.
-func (m *Machine) Apply(_ uint64, _ time.Duration, cmd []byte) []byte {
+func (m *Machine) Apply(_ uint64, logTime time.Duration, cmd []byte) []byte {
 	var c Command
 	if err := msgpack.Unmarshal(cmd, &c); err != nil {
 		return nil
@@ -80,6 +88,8 @@
 		reply.Changed = true
 	case c.Zone != nil:
 		reply.Changed, reply.Overtaken = m.changeZone(c.Zone)
+	case c.Crashes != nil:
+		reply.Changed = m.countCrashes(logTime, c.Crashes)
 	}
 	reply.Version = m.state.Version
 	out, err := msgpack.Marshal(reply)
