--- a/engine/plain.go
+++ b/engine/plain.go
@@ -68,6 +68,9 @@
 		return nil, x.failure(ctx, err, 0)
 	}
 	defer resp.Body.Close()
+	if err := checkStatus(resp.StatusCode); err != nil {
+		return nil, x.failure(ctx, err, 0)
+	}
 	if echoedID := resp.Header.Get(HeaderRequestID); echoedID != "" && echoedID != req.RequestID {
 		return nil, &Failure{Outcome: structs.OutcomeError, Written: true, Status: resp.StatusCode, Err: ErrResponseMismatch}
 	}
@@ -75,6 +78,9 @@
 		return nil, &Failure{Outcome: structs.OutcomeError, Written: true, Status: resp.StatusCode, Err: ErrRedirect}
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxPlainResponseBytes+1))
+	if err == nil {
+		err = x.checkUnframedEnd(ctx, resp)
+	}
 	if err != nil {
 		return nil, x.failure(ctx, errors.Wrap(err, "read response body"), resp.StatusCode)
 	}
--- a/engine/request.go
+++ b/engine/request.go
@@ -36,12 +36,20 @@
 	// gotConn is set when the transport has a connection for the request. From then on,
 	// part of the request may have been sent.
 	gotConn atomic.Bool
+	// written receives the outcome of writing the request. Only the first outcome is kept.
+	written chan error
 }
 
 func newExchange(ctx context.Context, method, url string, header http.Header, body []byte) (*exchange, error) {
-	x := &exchange{}
+	x := &exchange{written: make(chan error, 1)}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { x.gotConn.Store(true) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			select {
+			case x.written <- info.Err:
+			default:
+			}
+		},
 	})
 	req, err := http.NewRequestWithContext(ctx, method, url, nil)
 	if err != nil {
@@ -57,6 +65,34 @@
 	return x, nil
 }
 
+// checkUnframedEnd returns an error if a response without a length or chunks, whose body has been read to
+// the end of the connection, may have been broken off. A target's reset during the upload is reported once
+// by the operating system: if the write gets the report, the read sees an ordinary end. It waits until the
+// request has been written.
+func (x *exchange) checkUnframedEnd(ctx context.Context, resp *http.Response) error {
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Uncompressed {
+		return nil
+	}
+	select {
+	case err := <-x.written:
+		if err != nil {
+			return errors.Wrapf(ErrTruncated, "the connection ended during the upload (%v)", err)
+		}
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ErrTruncated, "the connection ended during the upload")
+	}
+}
+
+// checkStatus fails for a status that is none of HTTP's. net/http accepts any three digits in a response
+// and panics when a server writes one below 100.
+func checkStatus(status int) error {
+	if status < 100 || status > 599 {
+		return errors.Wrapf(ErrMalformed, "status %03d", status)
+	}
+	return nil
+}
+
 // failure classifies an error of the transport or of reading the response. A cancellation
 // of ctx takes precedence over err.
 func (x *exchange) failure(ctx context.Context, err error, status int) *Failure {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -4,8 +4,11 @@
 	"context"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/gateway/upstream"
 	"github.com/figlb/figlb/internal/clock"
@@ -64,7 +67,7 @@
 	if g.stopping.Load() != 0 || g.leaderContact.preferOtherHosts() || g.links.Stranded() {
 		w.Header().Set("Connection", "close") // the caller's next request will use another host
 	}
-	err := x.run()
+	err := x.runRecovered()
 	if err != nil {
 		x.writeError(err)
 	}
@@ -76,6 +79,18 @@
 	}
 }
 
+// runRecovered runs the exchange and turns a panic into an error, so that it is logged and the caller
+// gets a response. The request may have run.
+func (x *exchange) runRecovered() (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			x.g.log.Error(errors.Errorf("%v", p), "panic in the handler of a request", append(x.logFields(clock.Now()-x.began), "stack", string(debug.Stack()))...)
+			err = errs.New(errs.TargetFailed, "check the outcome before sending the request again", "the request failed in the gateway").WithRun(errs.RunUnknown)
+		}
+	}()
+	return x.run()
+}
+
 func (x *exchange) run() error {
 	if err := x.resolve(); err != nil {
 		return err
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -51,8 +51,7 @@
 			return x.noTargetError(err, last, ran)
 		}
 		x.targets, x.version = append(x.targets, t.ID), t.Version
-		last = x.sendTo(ctx, t)
-		x.g.targets.Release(t)
+		last = x.sendAndRelease(ctx, t)
 		if last.responded {
 			return last.err
 		}
@@ -115,6 +114,12 @@
 	return errs.New(errs.Overloaded, "retry later", "%d targets refused the request", len(x.targets)).WithRetryAfter(noTargetRetryAfter)
 }
 
+// sendAndRelease sends the request to one target and ends its count there, also if a handler panics.
+func (x *exchange) sendAndRelease(ctx context.Context, t *balance.Target) sendResult {
+	defer x.g.targets.Release(t)
+	return x.sendTo(ctx, t)
+}
+
 // sendTo sends the request to one target and, if the target has run it, passes the response on.
 func (x *exchange) sendTo(ctx context.Context, t *balance.Target) sendResult {
 	if err := x.g.config.checkConfirmed(); err != nil {
@@ -129,6 +134,7 @@
 	if err != nil {
 		return x.handleNoResponse(ctx, t, sent, err)
 	}
+	defer resp.Finish(false) // has no effect after the regular end; releases the connection on a panic
 	a := x.g.opts.Adapter.DecodeResponse(resp.StatusCode, resp.Header)
 	x.observeLoad(t, &a)
 	x.hearLimit(t, &a)
--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -186,9 +186,23 @@
 		return nil, err
 	}
 	defer c.limitReads(maxHeadBytes)()
-	return http.ReadResponse(c.reader, &http.Request{Method: method})
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		return nil, errors.Errorf("the target sent status %03d, which is no status of HTTP", resp.StatusCode)
+	}
+	return resp, nil
 }
 
+// minStatus and maxStatus bound the statuses of HTTP. http.ReadResponse accepts any three digits, and
+// net/http's server panics on those below 100.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
 // skipBody reads and discards the body of a response.
 func (c *conn) skipBody(resp *http.Response) error {
 	defer c.limitReads(maxStaleBodyBytes)()
@@ -231,7 +245,7 @@
 // reuseTime returns how long the connection may stay idle until its next request. 0 means that
 // it can't be reused.
 func reuseTime(resp *http.Response) time.Duration {
-	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if resp.Close || endsWithConnection(resp) {
 		return 0
 	}
 	idle := defaultIdle
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -159,26 +160,28 @@
 // called to release its connection.
 type Response struct {
 	*http.Response
-	pool    *Pool
-	conn    *conn
-	written chan struct{} // closed once the request has been written
-	stop    func() bool
+	pool     *Pool
+	conn     *conn
+	upload   *upload
+	stop     func() bool
+	finished bool
 }
 
 // Connection returns the local address of the connection, which identifies it in logs.
 func (a *Response) Connection() string { return a.conn.LocalAddr().String() }
 
 // Finish ends the exchange. bodyRead reports whether the body has been read to its end; otherwise
-// the connection is closed.
+// the connection is closed. Further calls have no effect.
 func (a *Response) Finish(bodyRead bool) {
+	if a.finished {
+		return
+	}
+	a.finished = true
 	active := a.stop()
 	idle := time.Duration(0)
-	select {
-	case <-a.written:
-		if bodyRead && active {
-			idle = reuseTime(a.Response)
-		}
-	default: // the target responded before it had read the whole request
+	// An upload that is not done means that the target responded before it had read the whole request.
+	if a.upload.succeeded() && bodyRead && active {
+		idle = reuseTime(a.Response)
 	}
 	a.pool.links.end(a.conn)
 	a.pool.put(a.conn, idle)
@@ -207,7 +210,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	p.links.begin(c)
 	c.awaitsRepeatable.Store(!req.NonRepeatable)
-	written := c.send(req)
+	up := c.send(req)
 	resp, err := c.readResponse(req)
 	c.awaitsRepeatable.Store(false)
 	if err != nil {
@@ -216,31 +219,77 @@
 		p.put(c, 0)
 		return nil, errors.Wrap(err, "no response")
 	}
-	return &Response{Response: resp, pool: p, conn: c, written: written, stop: stop}, nil
+	if endsWithConnection(resp) {
+		resp.Body = &unframedBody{ReadCloser: resp.Body, upload: up}
+	}
+	return &Response{Response: resp, pool: p, conn: c, upload: up, stop: stop}, nil
 }
 
 // maxDirectWriteBytes is the size up to which a request is written before its response is read. The
 // empty send buffer of a connection without an unanswered request takes it at once.
 const maxDirectWriteBytes = 8 << 10
 
+// upload is the sending of a request. err is valid once done is closed.
+type upload struct {
+	done chan struct{}
+	err  error
+}
+
+// succeeded reports whether the whole request has been written.
+func (u *upload) succeeded() bool {
+	select {
+	case <-u.done:
+		return u.err == nil
+	default:
+		return false
+	}
+}
+
 // send writes a request, a long one concurrently, because the target may respond before it has read
-// all of it. The returned channel is closed once the whole request has been written. A failed write
-// is not reported: either no response can be read, or the target responded early, and Finish closes
-// the connection as the channel is still open.
-func (c *conn) send(req *Request) (written chan struct{}) {
-	written = make(chan struct{})
+// all of it. A failed write is not reported by itself: either no response can be read, or the target
+// responded early, and Finish closes the connection.
+func (c *conn) send(req *Request) *upload {
+	u := &upload{done: make(chan struct{})}
 	head := encodeHead(req)
 	write := func() {
-		if c.write(head, req.Body) == nil {
-			close(written)
-		}
+		u.err = c.write(head, req.Body)
+		close(u.done)
 	}
 	if len(head)+len(req.Body) <= maxDirectWriteBytes {
 		write()
 	} else {
 		go write()
 	}
-	return written
+	return u
+}
+
+// endsWithConnection reports whether a response has no framing, so that its body ends with the
+// connection.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// unframedBody is the body of a response that ends with its connection. If a target resets the
+// connection during the upload, the operating system reports this once, and if the write gets the
+// report, the read sees an ordinary end. The end therefore counts only after the whole request has been
+// written.
+type unframedBody struct {
+	io.ReadCloser
+	upload *upload
+}
+
+// Read implements io.Reader. At the end it waits for the upload, which ends with the request's context
+// at the latest.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	<-b.upload.done
+	if b.upload.err != nil {
+		return n, errors.Wrapf(io.ErrUnexpectedEOF, "the connection ended during the upload (%v)", b.upload.err)
+	}
+	return n, io.EOF
 }
 
 // encodeHead returns the request line and the header.
--- a/gateway/upstream/tunnel.go
+++ b/gateway/upstream/tunnel.go
@@ -82,6 +82,9 @@
 	peer, target net.Conn
 	// answeredAt is the clock time of the target's last bytes; 0 while a request waits for the first.
 	answeredAt atomic.Int64
+	// sending is held during a write to the target. sendFailed is set, under it, after a failed one.
+	sending    sync.Mutex
+	sendFailed bool
 }
 
 // Count returns the number of open tunnels.
@@ -139,7 +142,7 @@
 		n, err := tn.peer.Read(buf)
 		if n > 0 {
 			tn.answeredAt.Store(0)
-			if _, werr := tn.target.Write(buf[:n]); werr != nil {
+			if werr := tn.send(buf[:n]); werr != nil {
 				return
 			}
 		}
@@ -149,6 +152,24 @@
 	}
 }
 
+// send writes a part of a request to the target.
+func (tn *tunnel) send(part []byte) error {
+	tn.sending.Lock()
+	defer tn.sending.Unlock()
+	_, err := tn.target.Write(part)
+	tn.sendFailed = err != nil
+	return err
+}
+
+// endedRegularly reports whether the end of the target's bytes is the regular end of its connection. A
+// reset is reported once by the operating system; if a write gets the report, the read sees an ordinary
+// end. It waits for a write that is under way.
+func (tn *tunnel) endedRegularly() bool {
+	tn.sending.Lock()
+	defer tn.sending.Unlock()
+	return !tn.sendFailed
+}
+
 // forwardResponses copies the target's bytes to the peer in chunks.
 func (tn *tunnel) forwardResponses() {
 	defer tn.close()
@@ -158,6 +179,9 @@
 		if n > 0 {
 			tn.answeredAt.Store(int64(clock.Now()))
 		}
+		if n == 0 && err == io.EOF && !tn.endedRegularly() {
+			return
+		}
 		if n > 0 || err == io.EOF {
 			binary.BigEndian.PutUint16(buf, uint16(n))
 			if _, werr := tn.peer.Write(buf[:tunnelLengthBytes+n]); werr != nil {
--- a/gateway/upstream/tunnel_test.go
+++ b/gateway/upstream/tunnel_test.go
@@ -77,6 +77,35 @@
 	}
 }
 
+// Guards against a response that looks complete through a relay although the target has reset the
+// connection during the upload: the relay's write may consume the error of the reset, so that its read sees
+// an ordinary end.
+func TestTunnelReportsAResetDuringTheUpload(t *testing.T) {
+	g := NewWithT(t)
+	ended := 0
+	for range 50 {
+		own, peer := tcpPair(t)
+		relayEnd, target := tcpPair(t)
+		var tunnels Tunnels
+		go tunnels.Serve(peer, relayEnd)
+		tn := &tunnelConn{Conn: own}
+		go func() { _, _ = tn.Write(make([]byte, 4<<20)) }() // fails when the tunnel ends
+		_, err := io.WriteString(target, "part")
+		g.Expect(err).NotTo(HaveOccurred())
+		got := make([]byte, 4)
+		_, err = io.ReadFull(tn, got)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(2 * time.Millisecond)
+		_ = target.(*net.TCPConn).SetLinger(0)
+		_ = target.Close()
+		if _, err = tn.Read(got); err == io.EOF {
+			ended++
+		}
+		_ = own.Close()
+	}
+	g.Expect(ended).To(BeZero(), "of 50 connections that were reset")
+}
+
 // Guards against a relay that stops in the middle of a response, and against one that waits for tunnels
 // without a request.
 func TestRelayClosesOnlyIdleTunnels(t *testing.T) {
