--- a/internal/testsite/process.go
+++ b/internal/testsite/process.go
@@ -75,6 +75,13 @@
 	return nil
 }
 
+// SetBinary sets the program that the next Start runs.
+func (p *Process) SetBinary(path string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bin = path
+}
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s os.Signal) {
 	p.mu.Lock()
--- a/test/soak/answer_faults.go
+++ b/test/soak/answer_faults.go
@@ -19,11 +19,15 @@
 	// share that breaks off before.
 	unframedPercent = 25
 	brokenPercent   = 25
+	// badStatusPercent is the share of answers of plain services that have no status of HTTP.
+	badStatusPercent = 5
+	// earlyPercent is the share of long uploads that are answered early and then reset.
+	earlyPercent = 50
 )
 
 // disturbAnswers makes all targets send unusual answers in series of periods until ctx ends: plain
-// services refuse requests and send late copies of their answers, model engines send streams without
-// a length, some of which break off.
+// services refuse requests, send late copies of their answers, answer long uploads early and with a reset,
+// and send statuses that are none, model engines send streams without a length, some of which break off.
 func (s *site) disturbAnswers(ctx context.Context, rng *rand.Rand) {
 	draw := newPercentDraw(rng.Int63())
 	for ctx.Err() == nil {
@@ -35,7 +39,10 @@
 					return draw.fault(standin.EndWithConnection, unframedPercent, standin.BreakOffStream, brokenPercent)
 				})
 			} else {
-				t.SetUnusualAnswers(func() standin.Fault { return draw.fault(standin.RefuseRequest, refusedPercent, standin.NoFault, 0) })
+				t.SetUnusualAnswers(func() standin.Fault {
+					return draw.fault(standin.RefuseRequest, refusedPercent, standin.BadStatus, s.badStatusPercent())
+				})
+				t.SetEarlyAnswers(func() bool { return !s.upgrading && draw.below(earlyPercent) })
 			}
 			t.SetLateCopies(func() bool { return draw.below(copiedPercent) })
 		}
@@ -43,10 +50,20 @@
 		for _, t := range targets {
 			t.SetUnusualAnswers(nil)
 			t.SetLateCopies(nil)
+			t.SetEarlyAnswers(nil)
 		}
 	}
 }
 
+// badStatusPercent returns the share of answers without a status of HTTP. The production build takes them, and
+// early answers that are reset, for answers, so they are left out while it runs.
+func (s *site) badStatusPercent() int {
+	if s.upgrading {
+		return 0
+	}
+	return badStatusPercent
+}
+
 // percentDraw draws percentages. It is safe for concurrent use.
 type percentDraw struct {
 	mu  sync.Mutex
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -9,6 +9,7 @@
 
 func main() {
 	bin := flag.String("bin", "target", "`DIR` that contains the built programs")
+	oldBin := flag.String("old-bin", "", "start with the programs in `DIR` and replace them host by host by those of -bin")
 	seed := flag.Int64("seed", 1, "first seed")
 	seeds := flag.Int("seeds", 1, "number of consecutive seeds to run")
 	length := flag.Duration("time", 20*time.Second, "duration of fault injection for each seed")
@@ -16,7 +17,7 @@
 	flag.Parse()
 	failed := 0
 	for s := *seed; s < *seed+int64(*seeds); s++ {
-		report, err := Run(Options{Bin: *bin, Seed: s, FaultDuration: *length, LogDir: *keep})
+		report, err := Run(Options{Bin: *bin, Seed: s, FaultDuration: *length, LogDir: *keep, OldBin: *oldBin})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			os.Exit(2)
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -21,6 +21,9 @@
 	Seed          int64
 	FaultDuration time.Duration
 	LogDir        string
+	// OldBin is the directory of the build with which the processes start; Bin replaces it host by host
+	// during the faults. Empty: all processes start with Bin.
+	OldBin string
 }
 
 // Report is the result of one seed.
@@ -60,6 +63,9 @@
 	// draftSeed and linkSeed do the same for runDrafts and disturbGateways.
 	draftSeed = 0x6472616674
 	linkSeed  = 0x6c696e6b
+	// uploadSeed and buildSeed do the same for runUploads and replaceBuilds.
+	uploadSeed = 0x75706c64
+	buildSeed  = 0x6275696c64
 	// draftClientCount is the number of callers with streams that they resume.
 	draftClientCount = 4
 	// longClientCount is the number of callers with long turns.
@@ -77,13 +83,20 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	s, err := newSite(bin, dir, opts.Seed, rand.New(rand.NewSource(opts.Seed)))
+	first := bin
+	if opts.OldBin != "" {
+		if first, err = filepath.Abs(opts.OldBin); err != nil {
+			return nil, err
+		}
+	}
+	s, err := newSite(first, dir, opts.Seed, rand.New(rand.NewSource(opts.Seed)))
 	if s != nil {
 		defer s.stop()
 	}
 	if err != nil {
 		return nil, err
 	}
+	s.upgrading = opts.OldBin != ""
 	report := &Report{Seed: opts.Seed}
 	w := newWorkload(s)
 	if err := w.start(); err != nil {
@@ -104,6 +117,7 @@
 	for i := range draftClientCount {
 		wg.Go(func() { w.runDrafts(ctx, rand.New(rand.NewSource(opts.Seed*1000^draftSeed+int64(i))), i) })
 	}
+	wg.Go(func() { w.runUploads(ctx, rand.New(rand.NewSource(opts.Seed^uploadSeed))) })
 	faultCtx, endFaults := context.WithCancel(ctx)
 	var limits []limitPeriod
 	var evacuations []evacuation
@@ -113,6 +127,9 @@
 	disturbing.Go(func() { evacuations = w.orderZones(faultCtx, rand.New(rand.NewSource(opts.Seed^zoneSeed))) })
 	disturbing.Go(func() { s.disturbAnswers(faultCtx, rand.New(rand.NewSource(opts.Seed^answerSeed))) })
 	disturbing.Go(func() { cuts = s.disturbGateways(faultCtx, rand.New(rand.NewSource(opts.Seed^linkSeed))) })
+	if opts.OldBin != "" {
+		disturbing.Go(func() { s.replaceBuilds(faultCtx, bin, rand.New(rand.NewSource(opts.Seed^buildSeed))) })
+	}
 	s.injectFaults(time.Now().Add(opts.FaultDuration), func(f string) { report.Faults = append(report.Faults, f) })
 	endFaults()
 	disturbing.Wait()
--- a/test/soak/site.go
+++ b/test/soak/site.go
@@ -59,6 +59,7 @@
 	listAddr     string
 	log          standin.RunLog
 	rng          *rand.Rand
+	upgrading    bool // some hosts run the production build
 
 	mu             sync.Mutex
 	targets        []*standin.Target
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -35,13 +35,7 @@
 // workload.go, zone_orders.go and run.go.
 func TestShortSoakHasNoViolations(t *testing.T) {
 	g := NewWithT(t)
-	bin := t.TempDir()
-	root, err := filepath.Abs("../..")
-	g.Expect(err).NotTo(HaveOccurred())
-	build := exec.Command("go", "build", "-o", bin, "./cmd/figlb-gateway", "./cmd/figlb-controller")
-	build.Dir = root
-	out, err := build.CombinedOutput()
-	g.Expect(err).NotTo(HaveOccurred(), string(out))
+	bin := buildPrograms(t, repositoryRoot(t))
 	for _, seed := range append([]int64{7, 8}, regressionSeeds...) {
 		// The first two are long enough for turns that outlast the turn before them and for an
 		// evacuation that follows a change of mind.
@@ -56,3 +50,43 @@
 		g.Expect(report.Served).To(BeNumerically(">", 0))
 	}
 }
+
+// productionBuild is the commit of the build that runs at the users' sites. Hosts are replaced one after the
+// other, so that both builds run side by side.
+const productionBuild = "eb04025"
+
+// Guards against violated guarantees while the hosts of a site are replaced one after the other by those of
+// the new build, in either order of controllers and gateways, under load and other faults.
+func TestUpgradeFromTheProductionBuild(t *testing.T) {
+	g := NewWithT(t)
+	root := repositoryRoot(t)
+	source := t.TempDir()
+	extract := exec.Command("sh", "-c", "git archive "+productionBuild+" | tar -x -C \"$1\"", "sh", source)
+	extract.Dir = root
+	out, err := extract.CombinedOutput()
+	g.Expect(err).NotTo(HaveOccurred(), string(out))
+	oldBin, bin := buildPrograms(t, source), buildPrograms(t, root)
+	for _, seed := range []int64{41, 44} { // gateways first, and controllers first
+		report, err := Run(Options{Bin: bin, OldBin: oldBin, Seed: seed, FaultDuration: 30 * time.Second, LogDir: os.Getenv("FIGLB_SOAK_KEEP")})
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Log(report.Summary())
+		g.Expect(report.Violations).To(BeEmpty(), report.Summary())
+		g.Expect(report.Served).To(BeNumerically(">", 0))
+	}
+}
+
+func repositoryRoot(t *testing.T) string {
+	root, err := filepath.Abs("../..")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return root
+}
+
+// buildPrograms builds the gateway and the controller from a source tree and returns their directory.
+func buildPrograms(t *testing.T, source string) (bin string) {
+	bin = t.TempDir()
+	build := exec.Command("go", "build", "-o", bin, "./cmd/figlb-gateway", "./cmd/figlb-controller")
+	build.Dir = source
+	out, err := build.CombinedOutput()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred(), string(out))
+	return bin
+}
