balance: expected finish at targets that report their pace

Calls to a small service queue behind the target that was emptiest 300 ms ago.

Change: the pace is read and kept by age; while a listed target of a service has named one, or sizes differ, a request goes to the earliest expected finish: wait, prompt that is not cached, output at the present pace. Turns stay where their history is, then prefer a target that holds their shared prefix. Short calls use the mean of the other gateways' counts. The list of candidates is no longer allocated for each choice.

--- a/controller/limits_test.go
+++ b/controller/limits_test.go
@@ -89,7 +89,7 @@
 		for _, p := range waiting {
 			if p.at > s.now {
 				s.pending = append(s.pending, p)
-			} else if t := p.gateway.set.AcquirePermitted(s.now, p.target); t != nil {
+			} else if t := p.gateway.set.AcquirePermitted(s.now, p.target, &balance.Criteria{}); t != nil {
 				s.arrive(p.gateway, t)
 			}
 		}
--- a/controller/pollsize_test.go
+++ b/controller/pollsize_test.go
@@ -151,7 +151,7 @@
 		sets[i].Update(clock.Now(), listed)
 		// Each gateway has just heard the limits of a few targets. The other gateways report the rest.
 		for n := range heardByGateway {
-			target := sets[i].AcquirePermitted(clock.Now(), fmt.Sprintf("i-%08x", (i*heardByGateway+n)%targets))
+			target := sets[i].AcquirePermitted(clock.Now(), fmt.Sprintf("i-%08x", (i*heardByGateway+n)%targets), &balance.Criteria{})
 			sets[i].HearLimit(clock.Now(), target, perSecond)
 			sets[i].Release(target)
 		}
@@ -216,7 +216,7 @@
 		t.Fatal(err)
 	}
 	if reply.Granted > 0 {
-		set.Release(set.AcquirePermitted(now, req.Candidates[reply.Granted-1]))
+		set.Release(set.AcquirePermitted(now, req.Candidates[reply.Granted-1], &balance.Criteria{}))
 	} else {
 		set.PermitDenied(now, req, reply)
 	}
--- a/gateway/adapter.go
+++ b/gateway/adapter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/gateway/balance"
 	"github.com/figlb/figlb/routing"
 )
 
@@ -35,7 +36,11 @@
 	// budget.
 	Budget int64
 	// MaxTokens is the maximum number of tokens that this turn may produce.
-	MaxTokens    int64
+	MaxTokens int64
+	// PromptTokens is the length of the prompt; 0: not stated. PromptParts names its parts, as
+	// targets cache them; nil: not stated.
+	PromptTokens int
+	PromptParts  []balance.PromptPart
 	PreviousTurn string // id of the turn that this one continues
 	Affinity     string // equal for requests on the same object
 	// Resumes is set if the caller already has the beginning of the stream and requests the
@@ -75,6 +80,9 @@
 	// Running and Waiting are the numbers of requests at the target; Running is negative if the
 	// target did not report them.
 	Running, Waiting int
+	// PacePercent is how long work takes on the target's machine now, in per cent of the usual; 0:
+	// not reported.
+	PacePercent int
 	// ColdFor is how long the target remains cold; 0: not reported.
 	ColdFor time.Duration
 	// Leaving is set if the target is about to stop.
--- a/gateway/balance/burst_test.go
+++ b/gateway/balance/burst_test.go
@@ -34,7 +34,7 @@
 }
 
 var (
-	// mediumEngines models the site olajide-engrave-grown, smallEngines its large variant.
+	// mediumEngines have 16 slots and smallEngines 6, at equal speed.
 	mediumEngines = modelConfig{gateways: 74, engines: 45, slots: 16, stepMs: 1.14, stepMsPerSlot: 0.043, prefillTokensPerMs: 336, firstTokenMs: 10,
 		meanOutput: 257, minOutput: 29, maxOutput: 580, inputPerTurn: 1250, turns: 6, deadlineFactor: 1.5}
 	smallEngines = modelConfig{gateways: 259, engines: 130, slots: 6, stepMs: 1.14, stepMsPerSlot: 0.0323, prefillTokensPerMs: 336, firstTokenMs: 10,
--- a/gateway/balance/choose.go
+++ b/gateway/balance/choose.go
@@ -27,6 +27,8 @@
 	Connected func(id string) bool
 	// Limited tells how targets that name a request limit are chosen.
 	Limited LimitedTargets
+	// Prompt describes the prompt of a turn; nil if it is not known.
+	Prompt *Prompt
 }
 
 // Acquire chooses a target and counts the request as in flight there until Release. It returns
@@ -43,11 +45,15 @@
 		t.limit.share.take()
 	}
 	s.acquire(now, t)
+	s.recordPlacement(now, c, t)
 	return t, ""
 }
 
 // choose returns the best of the candidates, of which there is at least one. The caller holds mu.
 func (s *Set) choose(now time.Duration, c *Criteria, candidates []*Target) *Target {
+	if u := s.uneven[c.Service]; u != nil {
+		return s.chooseUneven(now, u, c, candidates)
+	}
 	if c.Affinity != "" {
 		return s.byAffinity(now, c.Affinity, candidates)
 	}
@@ -68,14 +74,15 @@
 }
 
 // eligible returns the targets that may take the request. Ejected targets are returned only
-// if there are no others. The caller holds mu.
+// if there are no others. The caller holds mu; the targets are valid until the next call.
 func (s *Set) eligible(now time.Duration, c *Criteria) (candidates []*Target, reason string) {
 	all := s.byService[c.Service]
 	if len(all) == 0 {
 		return nil, "the service has no targets"
 	}
 	perSecond := ratePerGateway(s.coldLimits[c.Service], s.gateways)
-	var ejected []*Target
+	candidates = s.candidates[:0]
+	ejected := s.ejected[:0]
 	reason = "all targets are draining, excluded, out of service or of another version"
 	for _, t := range all {
 		if !s.admits(c, t) {
@@ -95,6 +102,7 @@
 		}
 		candidates = append(candidates, t)
 	}
+	s.candidates, s.ejected = candidates, ejected
 	if len(candidates) == 0 {
 		candidates = ejected
 	}
@@ -188,11 +196,7 @@
 // rank returns the weight of the target in rendezvous hashing on a key. The target with the
 // highest weight comes first.
 func (t *Target) rank(key uint64) uint64 {
-	// The finalizer of SplitMix64 disperses keys that differ in only a few bits.
-	x := key ^ t.hash
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	x ^= x >> 31
+	x := mix(key ^ t.hash)
 	if t.limit.active() && t.limit.weight < 1 {
 		return weighted(x, t.limit.weight)
 	}
--- a/gateway/balance/limit.go
+++ b/gateway/balance/limit.go
@@ -286,7 +286,7 @@
 
 // AcquirePermitted counts a request as in flight at a target for which the leader has granted a
 // permit. It returns nil if the target is not listed any more.
-func (s *Set) AcquirePermitted(now time.Duration, id string) *Target {
+func (s *Set) AcquirePermitted(now time.Duration, id string, c *Criteria) *Target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.byID[id]
@@ -294,6 +294,7 @@
 		return nil
 	}
 	s.acquire(now, t)
+	s.recordPlacement(now, c, t)
 	return t
 }
 
--- a/gateway/balance/set.go
+++ b/gateway/balance/set.go
@@ -26,6 +26,11 @@
 	coldLimits map[string]float64       // by service: requests per second to one cold target from all gateways
 	demands    map[string]*demand       // by service
 	versions   map[string]*versionWatch // by service
+	uneven     map[string]*unevenService
+	placements placements
+	// candidates and ejected are the results of the last call of eligible, kept for their memory: a
+	// choice among 2,800 targets would allocate 72 KB.
+	candidates, ejected []*Target
 }
 
 // NewSet returns an empty set for a gateway in the given availability zone.
@@ -39,6 +44,7 @@
 		coldLimits: map[string]float64{},
 		demands:    map[string]*demand{},
 		versions:   map[string]*versionWatch{},
+		uneven:     map[string]*unevenService{},
 	}
 }
 
@@ -89,7 +95,7 @@
 		t = nil
 	}
 	if t == nil {
-		t = &Target{hash: xxhash.Sum64String(f.ID)}
+		t = &Target{hash: xxhash.Sum64String(f.ID), listedAt: now}
 		s.byID[f.ID] = t
 	}
 	t.Target = f
@@ -100,6 +106,7 @@
 // remove deletes a target and returns it. The caller holds mu.
 func (s *Set) remove(id string) *Target {
 	t := s.byID[id]
+	t.removed = true
 	delete(s.byID, id)
 	return t
 }
@@ -113,6 +120,7 @@
 		s.ordered = append(s.ordered, t)
 		s.byService[t.Service] = append(s.byService[t.Service], t)
 	}
+	s.detectUneven()
 }
 
 // SetZonesOut replaces the availability zones that get no requests.
@@ -141,6 +149,7 @@
 	}
 	for i, t := range s.ordered {
 		t.otherInFlight = max(int32(loads[i])-own[t.ID], 0)
+		t.otherMean += otherMeanWeight * (float64(t.otherInFlight) - t.otherMean)
 	}
 	return true
 }
@@ -294,10 +303,17 @@
 }
 
 // Release ends a request that Acquire counted on a target.
-func (s *Set) Release(t *Target) {
+func (s *Set) Release(t *Target) { s.ReleaseTurn(t, nil) }
+
+// ReleaseTurn ends a request that Acquire or AcquirePermitted counted on a target, with the prompt
+// that was passed to it.
+func (s *Set) ReleaseTurn(t *Target, p *Prompt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t.inFlight--
+	if p != nil {
+		t.tokens -= p.total()
+	}
 }
 
 // Outcome is what a request revealed about its target.
@@ -311,6 +327,9 @@
 	Slowness float64
 	// Load is the number of requests that the target reported to have; negative: not reported.
 	Load int
+	// PacePercent is how long work takes on the target's machine now, in per cent of the usual, as
+	// reported by the target; 0: not reported.
+	PacePercent int
 	// ColdFor is the time that the target reported to stay cold; 0: not reported.
 	ColdFor time.Duration
 }
@@ -322,6 +341,9 @@
 	if o.Load >= 0 {
 		t.reportedLoad, t.reportedAt = int32(o.Load), now
 	}
+	if t.pace.record(now, o.PacePercent) && !t.removed {
+		s.unevenOf(t.Service)
+	}
 	if o.ColdFor > 0 {
 		t.setCold(now, now+o.ColdFor)
 	}
--- a/gateway/balance/target.go
+++ b/gateway/balance/target.go
@@ -49,11 +49,18 @@
 	hash      uint64 // of the id
 	coldUntil time.Duration
 	leaving   bool // the target has announced that it is about to stop
+	listedAt  time.Duration
+	removed   bool // the target is not listed any more, or was replaced
 	limit     requestLimit
-
-	inFlight      int32 // requests of this gateway
-	otherInFlight int32 // requests of all other gateways
-	reportedLoad  int32 // running and queued requests, as last reported by the target
+	pace      pace
+	prefixes  sentPrefixes
+	// tokens is the length of the prompts of this gateway's requests in flight.
+	tokens int
+
+	inFlight      int32   // requests of this gateway
+	otherInFlight int32   // requests of all other gateways
+	otherMean     float64 // moving average of otherInFlight over polls
+	reportedLoad  int32   // running and queued requests, as last reported by the target
 	reportedAt    time.Duration
 
 	// pending counts requests that have no response yet. lastProgress is the time of the last
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -52,7 +53,7 @@
 		}
 		x.targets, x.version = append(x.targets, t.ID), t.Version
 		last = x.sendTo(ctx, t)
-		x.g.targets.Release(t)
+		x.g.targets.ReleaseTurn(t, criteria.Prompt)
 		if last.responded {
 			return last.err
 		}
@@ -77,6 +78,9 @@
 	if x.route.Sticky || x.route.Kind == routing.Streaming {
 		c.Affinity = x.affinity()
 	}
+	if x.route.Kind == routing.Streaming && (x.req.PromptTokens > 0 || len(x.req.PromptParts) > 0) {
+		c.Prompt = &balance.Prompt{Parts: x.req.PromptParts, Tokens: x.req.PromptTokens, MaxOutput: int(min(max(x.req.MaxTokens, 0), math.MaxInt32))}
+	}
 	return c
 }
 
@@ -265,7 +269,7 @@
 	if a.Running >= 0 {
 		load = a.Running + a.Waiting
 	}
-	x.observe(t, &balance.Outcome{Load: load, ColdFor: a.ColdFor})
+	x.observe(t, &balance.Outcome{Load: load, PacePercent: a.PacePercent, ColdFor: a.ColdFor})
 }
 
 // observe records an outcome at a target and logs if this ejects the target.
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -143,7 +143,7 @@
 		if !sleep(ctx, reply.Delay) {
 			return nil, errs.New(errs.Unavailable, "retry", "the request ended while it waited for a limited target").WithRetryAfter(noTargetRetryAfter)
 		}
-		if t := x.g.targets.AcquirePermitted(clock.Now(), req.Candidates[i-1]); t != nil {
+		if t := x.g.targets.AcquirePermitted(clock.Now(), req.Candidates[i-1], c); t != nil {
 			return t, nil
 		}
 		return x.acquireWithoutPermit(c)
