--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -51,7 +52,7 @@
 			return x.noTargetError(err, last, ran)
 		}
 		x.targets, x.version = append(x.targets, t.ID), t.Version
-		last = x.sendAndRelease(ctx, t)
+		last = x.sendAndRelease(ctx, t, criteria.Prompt)
 		if last.responded {
 			return last.err
 		}
@@ -76,6 +77,9 @@
 	if x.route.Sticky || x.route.Kind == routing.Streaming {
 		c.Affinity = x.affinity()
 	}
+	if x.route.Kind == routing.Streaming && (x.req.PromptTokens > 0 || len(x.req.PromptParts) > 0) {
+		c.Prompt = &balance.Prompt{Parts: x.req.PromptParts, Tokens: x.req.PromptTokens, MaxOutput: int(min(max(x.req.MaxTokens, 0), math.MaxInt32))}
+	}
 	return c
 }
 
@@ -115,8 +119,8 @@
 }
 
 // sendAndRelease sends the request to one target and ends its count there, also if a handler panics.
-func (x *exchange) sendAndRelease(ctx context.Context, t *balance.Target) sendResult {
-	defer x.g.targets.Release(t)
+func (x *exchange) sendAndRelease(ctx context.Context, t *balance.Target, prompt *balance.Prompt) sendResult {
+	defer x.g.targets.ReleaseTurn(t, prompt)
 	return x.sendTo(ctx, t)
 }
 
@@ -271,7 +275,7 @@
 	if a.Running >= 0 {
 		load = a.Running + a.Waiting
 	}
-	x.observe(t, &balance.Outcome{Load: load, ColdFor: a.ColdFor})
+	x.observe(t, &balance.Outcome{Load: load, PacePercent: a.PacePercent, ColdFor: a.ColdFor})
 }
 
 // observe records an outcome at a target and logs if this ejects the target.
