gateway: the priority that targets are told follows what a program has left

Cause: within a configured priority, turns queue at engines in order of arrival, so that programs that are already late hold up those that still have time.

--- a/gateway/adapter.go
+++ b/gateway/adapter.go
@@ -32,6 +32,8 @@
 	Key      string
 	Deadline time.Duration // how long the caller waits; 0: not stated
 	Program  string
+	// ProgramTime is the time that the program has left until its objective.
+	ProgramTime ProgramTime
 	// Budget is the number of tokens that all turns of the program may produce together; 0: no
 	// budget.
 	Budget int64
--- a/gateway/balance/uneven.go
+++ b/gateway/balance/uneven.go
@@ -299,3 +299,10 @@
 	}
 	return best
 }
+
+// Uneven reports whether the targets of a service report their pace or differ in size.
+func (s *Set) Uneven(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.uneven[service] != nil
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -34,6 +34,7 @@
 	// deadline is the clock time at which the exchange ends. It follows from the caller's
 	// deadline and the route's timeout.
 	deadline time.Duration
+	begun    bool     // earlier turns of the program are known to the ledger
 	reserved bool     // tokens of the program's budget are reserved in the ledger
 	targets  []string // ids of the targets that were tried, in order
 	version  string   // software version of the last of them
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -168,7 +168,7 @@
 
 // targetRequest builds the request to a target.
 func (x *exchange) targetRequest(t *balance.Target) *upstream.Request {
-	d := &ForwardMetadata{Target: t.ID, Org: x.org, Deadline: max(x.timeLeft(), time.Millisecond), Priority: x.priority()}
+	d := &ForwardMetadata{Target: t.ID, Org: x.org, Deadline: max(x.timeLeft(), time.Millisecond), Priority: x.targetPriority(t)}
 	body := x.body
 	if len(x.history) > 0 {
 		body = slices.Concat(x.history, x.body)
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -72,6 +72,7 @@
 	switch ledgersm.Verdict(reply.Verdict) {
 	case ledgersm.OK:
 		x.reserved = true
+		x.begun = reply.Spent+reply.Reserved > 0
 		x.history = reply.History
 		return x.adoptSource(reply.Source)
 	case ledgersm.UnknownStream:
