--- a/fleet/bodies.go
+++ b/fleet/bodies.go
@@ -70,6 +70,8 @@
 // BodyPutReply acknowledges a body.
 type BodyPutReply struct {
 	Incarnation string `msgpack:"i"`
+	// View is the digest of the view by which the store places bodies; 0: it has none.
+	View uint64 `msgpack:"v,omitempty"`
 }
 
 // BodyGet asks for bodies.
@@ -94,12 +96,20 @@
 // BodyOffer tells a store which bodies the sender holds and the store should hold.
 type BodyOffer struct {
 	Keys []string `msgpack:"k"`
+	From string   `msgpack:"f"` // name of the offering store
 }
 
-// BodyOfferReply names the offered bodies that the store does not hold.
+// BodyOfferReply names the offered bodies that the store does not hold. The store holds all others.
 type BodyOfferReply struct {
-	Incarnation string   `msgpack:"i"`
-	Missing     []string `msgpack:"m"`
+	Incarnation string `msgpack:"i"`
+	// Missing names the bodies that the sender should send.
+	Missing []string `msgpack:"m"`
+	// Pending names the bodies that another store has been asked to send, or that exceed what the
+	// store takes at once. They have to be offered again.
+	Pending []string `msgpack:"p,omitempty"`
+	// View is the digest of the view by which the store places bodies; 0: it has none. A sender relies
+	// on the copy only if its own view is the same: the store may be about to drop the body otherwise.
+	View uint64 `msgpack:"v,omitempty"`
 }
 
 // KnownRequest asks the leader of the ledger which bodies it refers to.
