--- a/wire/server.go
+++ b/wire/server.go
@@ -28,6 +28,10 @@
 // encoded with msgpack as well. An *errs.Error is passed to the caller unchanged.
 type Handler func(ctx context.Context, body []byte) (any, error)
 
+// Releaser is implemented by replies that hold a limited resource, such as a share of a memory budget.
+// Release is called once the reply has been sent or has failed to be sent.
+type Releaser interface{ Release() }
+
 // Authorizer returns an error if a peer with a verified certificate may not call a method.
 type Authorizer func(peer tls.ConnectionState, method string) error
 
@@ -240,23 +244,29 @@
 		reply.Err = errs.New(errs.NotFound, "upgrade the peer", "unknown method %q", f.Method)
 	} else {
 		ctx, span := otel.Tracer("figlb/wire").Start(ctx, f.Method, trace.WithSpanKind(trace.SpanKindServer))
-		reply.Body, reply.Err = invoke(ctx, h, f.Body)
+		var release func()
+		reply.Body, release, reply.Err = invoke(ctx, h, f.Body)
+		defer release()
 		span.End()
 	}
 	sc.write(reply)
 }
 
-// invoke runs a handler and encodes its reply.
-func invoke(ctx context.Context, h Handler, body []byte) ([]byte, *errs.Error) {
+// invoke runs a handler and encodes its reply. release has to be called once the reply has been sent.
+func invoke(ctx context.Context, h Handler, body []byte) (out []byte, release func(), _ *errs.Error) {
+	release = func() {}
 	v, err := h(ctx, body)
 	if err != nil {
-		return nil, errs.From(err)
+		return nil, release, errs.From(err)
+	}
+	if r, ok := v.(Releaser); ok {
+		release = r.Release
 	}
-	out, err := msgpack.Marshal(v)
+	out, err = msgpack.Marshal(v)
 	if err != nil {
-		return nil, errs.From(errors.Wrap(err, "encode reply"))
+		return nil, release, errs.From(errors.Wrap(err, "encode reply"))
 	}
-	return out, nil
+	return out, release, nil
 }
 
 // write sends a frame. If that fails, it closes the connection.
