--- a/bodystore/client.go
+++ b/bodystore/client.go
@@ -56,10 +56,15 @@
 
 // Put stores a body on the store at an address. It returns nil once the body is durable there.
 func (c *Client) Put(ctx context.Context, address string, body *fleet.BodyPut) error {
-	_, err := call[fleet.BodyPutReply](ctx, c, connKey{address, true}, fleet.MethodBodyPut, body)
+	_, err := c.Send(ctx, address, body)
 	return err
 }
 
+// Send stores a body like Put and returns the store's reply.
+func (c *Client) Send(ctx context.Context, address string, body *fleet.BodyPut) (*fleet.BodyPutReply, error) {
+	return call[fleet.BodyPutReply](ctx, c, connKey{address, true}, fleet.MethodBodyPut, body)
+}
+
 // Get returns the bodies with the given keys from the store at an address, in the order of the keys. A
 // body that the store does not have is returned with Found unset. On an error, it returns the bodies
 // received so far as well.
