--- a/bodystore/store.go
+++ b/bodystore/store.go
@@ -57,11 +57,11 @@
 	wake  chan struct{} // signals the writer that the queue is not empty
 	quit  chan struct{} // closed by Close
 	wg    sync.WaitGroup
-	close sync.Once
 	gets  *semaphore.Weighted // getBudget
 	sends *semaphore.Weighted // sendBudget
 
 	mu          sync.Mutex // guards all fields below
+	closed      bool
 	incarnation string
 	index       map[string]*entry
 	expiry      indexheap.Heap[*entry]
@@ -127,9 +127,14 @@
 	return s, nil
 }
 
-// Close ends the writer. Queued bodies are refused.
+// Close ends the writer. Queued bodies are refused. The context of Run has to be cancelled before.
 func (s *Store) Close() {
-	s.close.Do(func() { close(s.quit) })
+	s.mu.Lock()
+	if !s.closed {
+		s.closed = true
+		close(s.quit)
+	}
+	s.mu.Unlock()
 	s.wg.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -233,6 +238,8 @@
 // refusal returns why a body of a size is not taken, or nil. The caller holds mu.
 func (s *Store) refusal(size int64) error {
 	switch {
+	case s.closed:
+		return errs.New(errs.Unavailable, "use another store", "store %s is stopping", s.opt.Name)
 	case s.tracker.retiring:
 		return errs.New(errs.Draining, "use another store", "store %s is being retired", s.opt.Name)
 	case s.queued+size > putBudget:
