--- a/fleet/place_test.go
+++ b/fleet/place_test.go
@@ -66,9 +66,9 @@
 			counts[name]++
 		}
 	}
-	g.Expect(float64(counts["store-0"])/placedBodies).To(BeNumerically("~", 3.0/8, 0.02))
+	g.Expect(float64(counts["store-0"]) / placedBodies).To(BeNumerically("~", 3.0/8, 0.02))
 	for i := 1; i < 6; i++ {
-		g.Expect(float64(counts[v.Stores[i].Name])/placedBodies).To(BeNumerically("~", 1.0/8, 0.02))
+		g.Expect(float64(counts[v.Stores[i].Name]) / placedBodies).To(BeNumerically("~", 1.0/8, 0.02))
 	}
 }
 
