fleet, stateclient, wire: calls for features of members and for retirements

Cause: a controller of an earlier build answers new methods with an error that has to be told from other errors. Change: wire.IsUnknownMethod, Client.MemberFeatures, Client.Retire.

--- a/stateclient/fleet.go
+++ b/stateclient/fleet.go
@@ -6,6 +6,7 @@
 
 	"github.com/figlb/figlb/fleet"
 	"github.com/figlb/figlb/statemachine/ledgersm"
+	"github.com/figlb/figlb/wire"
 )
 
 // controllerAttemptTimeout bounds one attempt of a call that may be repeated. A leader
@@ -54,6 +55,24 @@
 	return callController[fleet.PutReply](ctx, c, fleet.DocumentGroup, fleet.MethodZone, true, req)
 }
 
+// MemberFeatures asks one controller which features it understands. A controller of an older build
+// understands none.
+func (c *Client) MemberFeatures(ctx context.Context, addr string) (uint64, error) {
+	reply, err := attempt[fleet.FeaturesReply](ctx, c, addr, &request{method: fleet.MethodFeatures, timeout: controllerAttemptTimeout}, struct{}{})
+	if wire.IsUnknownMethod(err) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return reply.Features, nil
+}
+
+// Retire retires a store host, or asks for the state of its retirement. It may be repeated.
+func (c *Client) Retire(ctx context.Context, req *fleet.RetireRequest) (*fleet.RetireReply, error) {
+	return callController[fleet.RetireReply](ctx, c, fleet.DocumentGroup, fleet.MethodRetire, true, req)
+}
+
 // Hosts lists the hosts that poll the leader.
 func (c *Client) Hosts(ctx context.Context) (*fleet.HostsReply, error) {
 	return callController[fleet.HostsReply](ctx, c, fleet.DocumentGroup, fleet.MethodHosts, false, struct{}{})
--- a/wire/server.go
+++ b/wire/server.go
@@ -22,6 +22,15 @@
 // closed after it, so that a hung or unreachable peer cannot block goroutines indefinitely.
 const writeTimeout = 5 * time.Second
 
+// unknownMethodRemedy is the remedy of the error for a method that the server does not have.
+const unknownMethodRemedy = "upgrade the peer"
+
+// IsUnknownMethod reports whether a peer has answered that it does not have the method of a call.
+func IsUnknownMethod(err error) bool {
+	var e *errs.Error
+	return errors.As(err, &e) && e.Code == errs.NotFound && e.Remedy == unknownMethodRemedy
+}
+
 const handshakeTimeout = 5 * time.Second
 
 // Handler handles one call. body is the request encoded with msgpack; the returned reply is
@@ -241,7 +250,7 @@
 	if err := sc.authorize(f.Method); err != nil {
 		reply.Err = errs.From(err)
 	} else if !ok {
-		reply.Err = errs.New(errs.NotFound, "upgrade the peer", "unknown method %q", f.Method)
+		reply.Err = errs.New(errs.NotFound, unknownMethodRemedy, "unknown method %q", f.Method)
 	} else {
 		ctx, span := otel.Tracer("figlb/wire").Start(ctx, f.Method, trace.WithSpanKind(trace.SpanKindServer))
 		var release func()
