ledgersm, controller, operator: bodies of turns on store hosts

Cause: turns with a retention of 60 s and 17 KB fill the ledger within 35 s; from then on all new programs that keep turns are refused while the store hosts are empty. Change: a settled turn may hold a reference in place of its input and output; a reservation returns the history in parts then. The leader of the document group keeps the view of the store hosts (revision: term and counter) and tells hosts whether bodies go to them: from 40 % of the ledger's limit until 25 %, once all members and gateways understand references and enough stores are writable. New programs are refused when the stores' disks are nearly used up. A retirement is an order in the document group, completed when the host's newest report for the present view has nothing remaining. ledger.known tells stores which bodies are referred to.

--- a/controller/hosts.go
+++ b/controller/hosts.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -64,6 +65,8 @@
 	idleEventInterval map[string]float64 // time between events of idle engines by service, in ms
 	// loadsSentAt is when the host was last sent the loads of the targets; 0 if never.
 	loadsSentAt time.Duration
+	features    uint64
+	storeView   uint64 // revision of the view of the store hosts that the host holds
 }
 
 // crashRecord counts the target crashes that were reported for one request.
@@ -101,6 +104,7 @@
 		t.log.Info("host joined", "peer", req.Host, "kind", req.Kind, "zone", req.Zone)
 	}
 	h.zone, h.address, h.cutOff, h.lastPoll = req.Zone, req.Address, req.CutOff, now
+	h.features, h.storeView = req.Features, req.KnownVersions.Stores
 	t.loads.replace(h.inFlight, req.InFlight)
 	h.inFlight = req.InFlight
 	t.outcomes.add(now, req.Zone, req.Outcomes)
@@ -208,6 +212,34 @@
 	return out[:min(len(out), maxPeers)]
 }
 
+// gatewayBodies returns the lowest revision of the view of the store hosts that any gateway holds which
+// writes to them, and whether there are gateways and all of them understand references to bodies.
+func (t *hostTable) gatewayBodies(term uint64) (oldestView uint64, ready bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.startTerm(term, clock.Now())
+	oldestView, ready = math.MaxUint64, t.gateways > 0
+	for _, h := range t.hosts {
+		if h.kind != fleet.KindGateway {
+			continue
+		}
+		if h.features&fleet.FeatureBodies == 0 {
+			ready = false
+			continue
+		}
+		oldestView = min(oldestView, h.storeView)
+	}
+	return oldestView, ready
+}
+
+// understandsBodies reports whether a host's last poll said that it understands references to bodies.
+func (t *hostTable) understandsBodies(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.hosts[name]
+	return h != nil && h.features&fleet.FeatureBodies != 0
+}
+
 // setTargets switches to a new list of targets, sorted by id: it sums up the loads anew and
 // discards the outcomes of targets that were removed or have restarted. It does nothing if the
 // digest is that of the present list.
--- a/controller/poll.go
+++ b/controller/poll.go
@@ -19,6 +19,7 @@
 	_, term := s.opts.Node.Leader(fleet.DocumentGroup)
 	s.hosts.recordPoll(term, req)
 	s.limits.report(clock.Now(), term, req.Limits)
+	s.stores.record(clock.Now(), term, req)
 	state := s.opts.Document.Get()
 	reply := &fleet.PollReply{Version: state.Version, ZoneRevision: state.ZoneRevision}
 	if members := slices.Sorted(slices.Values(s.opts.Node.Members())); fleet.DigestStrings(members) != req.Members {
@@ -30,6 +31,10 @@
 	if state.ZoneRevision != req.ZoneRevision {
 		reply.ZonesOut = state.ZonesOut()
 	}
+	if req.Store != nil || req.Features&fleet.FeatureBodies != 0 {
+		reply.Stores = s.stores.changeSince(req.Kind, req.KnownVersions.Stores)
+		reply.BodiesToStores = s.bodies.toStores.Load()
+	}
 	if req.Kind != fleet.KindGateway {
 		return reply, nil
 	}
--- a/controller/server.go
+++ b/controller/server.go
@@ -45,7 +45,12 @@
 	// MaxLedgerBytes is the total size of kept turns from which new programs that keep turns are
 	// refused; 0 means no limit. Beyond it, the ledger would fill the disks of all members.
 	MaxLedgerBytes int64
-	Log            logr.Logger
+	// Copies is the number of store hosts that hold each body of a turn; 0 means that all turns are kept
+	// in the ledger.
+	Copies int
+	// Peers asks the other members which features they understand.
+	Peers Peers
+	Log   logr.Logger
 }
 
 // Server is the service of one controller, which is a member of the replicated groups.
@@ -56,6 +61,8 @@
 	rates      rateTable
 	limits     limitTable
 	targetList targetList
+	stores     storeTable
+	bodies     bodyStorage
 	// ledgerFull is set while new programs that keep turns are refused.
 	ledgerFull atomic.Bool
 }
@@ -64,7 +71,7 @@
 // work.
 func New(opts Options) *Server {
 	s := &Server{opts: opts, log: opts.Log}
-	s.hosts.log, s.hosts.outcomes.log, s.limits.log = opts.Log, opts.Log, opts.Log
+	s.hosts.log, s.hosts.outcomes.log, s.limits.log, s.stores.log = opts.Log, opts.Log, opts.Log, opts.Log
 	return s
 }
 
@@ -83,6 +90,9 @@
 	fleet.Handle(w, fleet.MethodProgram, s.programBegun)
 	fleet.Handle(w, fleet.MethodStream, s.recordStream)
 	fleet.Handle(w, fleet.MethodContact, s.contact)
+	fleet.Handle(w, fleet.MethodKnownBodies, s.knownBodies)
+	fleet.Handle(w, fleet.MethodFeatures, func(context.Context, *struct{}) (*fleet.FeaturesReply, error) { return s.features(), nil })
+	fleet.Handle(w, fleet.MethodRetire, s.retire)
 }
 
 // contact confirms to a host that it reaches the leader. Other members return NotLeader.
--- a/controller/targets.go
+++ b/controller/targets.go
@@ -45,8 +45,10 @@
 }
 
 // Run reads the list of targets until ctx ends: once at the start, so that a member that is
-// elected right afterwards has a list, and then while this member leads the document group.
+// elected right afterwards has a list, and then while this member leads the document group. It also
+// decides about bodies of turns on store hosts.
 func (s *Server) Run(ctx context.Context) {
+	go s.runBodies(ctx)
 	s.readTargets(ctx, s.leadingTerm())
 	next := clock.Now() + s.targetList.readInterval()
 	led := s.leadingTerm()
--- a/operator/orders.go
+++ b/operator/orders.go
@@ -7,9 +7,11 @@
 	"github.com/figlb/figlb/fleet"
 	"github.com/figlb/figlb/routing"
 	"github.com/figlb/figlb/stateclient"
+	"github.com/figlb/figlb/wire"
 )
 
-// minStores is the minimum number of store hosts that must remain after one is retired.
+// minStores is the number of store hosts that must remain after one is retired while the leader is of a
+// build that keeps no bodies on them.
 const minStores = 2
 
 // Operations implements platform.Operations by calls to the controller leaders.
@@ -53,10 +55,34 @@
 	return err
 }
 
-// Retire reports whether a store host holds no more data and can be removed. It fails if fewer
-// than minStores store hosts would remain. Store hosts hold no replicated group, so no data
-// has to be moved first.
+// Retire orders that a store host is retired and reports whether it holds no more data and can be removed.
+// It fails if too few store hosts would remain.
 func (o *Operations) Retire(ctx context.Context, host string) (bool, error) {
+	reply, err := o.Client.Retire(ctx, &fleet.RetireRequest{Host: host, Order: true})
+	if wire.IsUnknownMethod(err) {
+		return o.retireWithoutOrder(ctx, host)
+	}
+	if err != nil {
+		return false, err
+	}
+	return reply.Completed, nil
+}
+
+// IsRetired reports whether a retired store host holds no more data.
+func (o *Operations) IsRetired(ctx context.Context, host string) (bool, error) {
+	reply, err := o.Client.Retire(ctx, &fleet.RetireRequest{Host: host})
+	if wire.IsUnknownMethod(err) {
+		return o.isKnownStore(ctx, host)
+	}
+	if err != nil {
+		return false, err
+	}
+	return reply.Completed, nil
+}
+
+// retireWithoutOrder serves Retire while the leader is of a build without such orders. Store hosts hold no
+// bodies then.
+func (o *Operations) retireWithoutOrder(ctx context.Context, host string) (bool, error) {
 	stores, known, err := o.stores(ctx, host)
 	if err != nil {
 		return false, err
@@ -64,12 +90,11 @@
 	if known && stores-1 < minStores {
 		return false, errs.New(errs.Superseded, "add a store host first", "%d store hosts would remain of at least %d", stores-1, minStores)
 	}
-	return o.IsRetired(ctx, host)
+	return o.isKnownStore(ctx, host)
 }
 
-// IsRetired reports whether a store host holds no more data, which is so for every known store
-// host.
-func (o *Operations) IsRetired(ctx context.Context, host string) (bool, error) {
+// isKnownStore returns true for a known store host and fails for another one.
+func (o *Operations) isKnownStore(ctx context.Context, host string) (bool, error) {
 	_, known, err := o.stores(ctx, host)
 	if err != nil {
 		return false, err
--- a/statemachine/ledgersm/ledgersm_test.go
+++ b/statemachine/ledgersm/ledgersm_test.go
@@ -19,6 +19,16 @@
 	RunSpecs(t, "ledgersm")
 }
 
+// History joins the parts of a chain without references.
+func (m *Machine) History(org, lastTurn string) ([]byte, bool) {
+	parts, ok := m.Parts(org, lastTurn)
+	var out []byte
+	for _, p := range parts {
+		out = append(out, p.Inline...)
+	}
+	return out, ok
+}
+
 func apply(m *Machine, now time.Duration, c Command) Reply {
 	cmd, err := msgpack.Marshal(&c)
 	Expect(err).NotTo(HaveOccurred())
--- a/statemachine/ledgersm/machine.go
+++ b/statemachine/ledgersm/machine.go
@@ -1,6 +1,8 @@
 package ledgersm
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -170,9 +172,10 @@
 	}
 }
 
-// History returns the inputs and outputs of the chain of turns that ends with lastTurn, oldest
-// first. The second result is false if a turn of the chain is not known.
-func (m *Machine) History(org, lastTurn string) ([]byte, bool) {
+// Parts returns the chain of turns that ends with lastTurn, oldest first. Consecutive turns that the
+// ledger holds itself are joined into one part. The second result is false if a turn of the chain is not
+// known.
+func (m *Machine) Parts(org, lastTurn string) ([]Part, bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	var chain []*turn
@@ -186,18 +189,55 @@
 		size += t.Size
 		id = t.Previous
 	}
-	out := make([]byte, 0, size)
-	for i := len(chain) - 1; i >= 0; i-- {
-		input, output, err := chain[i].content()
+	h := history{sizeHint: size}
+	for _, t := range slices.Backward(chain) {
+		s, err := t.settled()
 		if err != nil {
 			return nil, false
 		}
-		out = append(out, input...)
-		out = append(out, output...)
+		h.add(s)
 	}
-	return out, true
+	return h.parts, true
 }
 
+// history collects the parts of a chain.
+type history struct {
+	parts    []Part
+	sizeHint int // upper bound of the bytes in all parts
+}
+
+// add appends a settled turn. Its input and output are copied.
+func (h *history) add(s *Settle) {
+	if s.Body != nil {
+		h.parts = append(h.parts, Part{Ref: s.Body})
+		return
+	}
+	if n := len(h.parts); n == 0 || h.parts[n-1].Ref != nil {
+		h.parts = append(h.parts, Part{Inline: make([]byte, 0, h.sizeHint)})
+		h.sizeHint = 0 // a further inline part, after a reference, grows as needed
+	}
+	last := &h.parts[len(h.parts)-1]
+	last.Inline = append(append(last.Inline, s.Input...), s.Output...)
+}
+
+// RefersTo reports whether a stored turn refers to the body with the given key on store hosts.
+func (m *Machine) RefersTo(body string) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	org, rest, _ := strings.Cut(body, "\x00")
+	attempt, _, _ := strings.Cut(rest, "\x00") // what follows tells several runs of an attempt apart
+	t := m.turns[key(org, attempt)]
+	if t == nil || t.Size > maxReferenceBytes {
+		return false
+	}
+	s, err := t.settled()
+	return err == nil && s.Body != nil && s.Body.Key == body
+}
+
+// maxReferenceBytes is above the size of a command with a reference in place of a body, whose ids come
+// from request headers of at most 64 KB. A larger command holds a body and is not decoded.
+const maxReferenceBytes = 256 << 10
+
 // ProgramBegun reports whether the ledger knows a program.
 func (m *Machine) ProgramBegun(org, program string) bool {
 	m.mu.RLock()
--- a/statemachine/ledgersm/types.go
+++ b/statemachine/ledgersm/types.go
@@ -106,9 +106,15 @@
 	return n
 }
 
-// turn is a stored turn that can be continued. Its input and output are in the encoded command that
-// settled it, which a block holds. The replicated log shares the same bytes, so that they are in
-// memory once.
+// Part is one turn of a history: its input and output, or a reference to them on store hosts.
+type Part struct {
+	Inline []byte
+	Ref    *BodyRef
+}
+
+// turn is a stored turn that can be continued. Its input and output, or the reference to them, are in
+// the encoded command that settled it, which a block holds. The replicated log shares the same bytes, so
+// that they are in memory once.
 type turn struct {
 	Previous  string        `msgpack:"v"`
 	ExpiresAt time.Duration `msgpack:"t"`
@@ -118,14 +124,14 @@
 	command   []byte
 }
 
-// content returns the input and output of the turn.
-func (t *turn) content() (input, output []byte, err error) {
+// settled returns the command that settled the turn.
+func (t *turn) settled() (*Settle, error) {
 	var c Command
 	if err := msgpack.Unmarshal(t.command, &c); err != nil {
-		return nil, nil, errors.Wrap(err, "decode a turn")
+		return nil, errors.Wrap(err, "decode a turn")
 	}
 	if c.Settle == nil {
-		return nil, nil, errors.New("a turn without its end")
+		return nil, errors.New("a turn without its end")
 	}
-	return c.Settle.Input, c.Settle.Output, nil
+	return c.Settle, nil
 }
