gateway: bodies of turns go to store hosts and are read from them

A turn counts as done once its stream has ended, so its body has to be durable on enough stores before that. Change: package gateway/bodies sends a body to the first places in parallel and to the next on failure or after 150 ms; without enough copies in 0.6 s the ledger gets the body, as before. Histories are read from the first place that answers, checked by size and checksum; 503 with Retry-After 0.3 s if that fails. Memory for bodies that are sent and read is bounded to 8 MB each.

--- a/cmd/figlb-gateway/main.go
+++ b/cmd/figlb-gateway/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/figlb/figlb/bodystore"
 	"github.com/figlb/figlb/gateway"
 	"github.com/figlb/figlb/gateway/upstream"
 	"github.com/figlb/figlb/internal/httpserver"
@@ -41,9 +42,11 @@
 }
 
 func run(p *process.Process) error {
+	stores := bodystore.NewClient()
+	defer stores.Close()
 	g := gateway.New(gateway.Options{
 		Host: p.Host.Name, Zone: p.Host.Zone, Address: p.Host.InternalAddress, Adapter: platform.Adapter{},
-		Client: p.Client, Log: p.Log, Metrics: p.Metrics, DialTarget: upstream.DialThrough(*targetProxy),
+		Client: p.Client, Bodies: stores, Log: p.Log, Metrics: p.Metrics, DialTarget: upstream.DialThrough(*targetProxy),
 	})
 	defer g.Close()
 	peers, err := wire.Listen(p.Host.Listen(p.Host.InternalAddress), nil, p.Log)
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -186,6 +186,7 @@
 		WantEventInterval: g.intervals.noneMeasured(),
 		WantPeers:         now-f.peersRequestedAt >= peersRefreshInterval || len(g.leaderContact.knownPeers()) < minPeers || g.links.Stranded(),
 		CutOff:            g.links.CutOff(),
+		Features:          g.features(),
 	}
 	if now-f.intervalsReportedAt >= idleIntervalReportInterval {
 		f.intervalsReportedAt = now
@@ -229,6 +230,7 @@
 		g.log.Error(err, "cannot decode the list of targets; keeping the previous one")
 		return
 	}
+	g.adoptStores(reply)
 	f.known.Update(reply)
 	if !g.targets.SetFleetLoad(reply.Gateways, req.InFlight, reply.Loads) {
 		g.log.Info("loads do not match the list of targets; requesting the whole list", "loads", len(reply.Loads), "targets", g.targets.Size())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/gateway/balance"
+	"github.com/figlb/figlb/gateway/bodies"
 	"github.com/figlb/figlb/gateway/upstream"
 	"github.com/figlb/figlb/internal/clock"
 	"github.com/figlb/figlb/stateclient"
@@ -25,9 +26,11 @@
 	// DialTarget opens connections to targets; nil: over TCP.
 	DialTarget func(ctx context.Context, addr string) (net.Conn, error)
 	Adapter    Adapter
-	Client     *stateclient.Client
-	Log        logr.Logger
-	Metrics    metrics.Registry
+	// Bodies calls store hosts, which keep bodies of turns; nil: all turns are kept in the ledger.
+	Bodies  bodies.Client
+	Client  *stateclient.Client
+	Log     logr.Logger
+	Metrics metrics.Registry
 }
 
 // Gateway serves callers on one host.
@@ -47,6 +50,9 @@
 	turns         turnTimes
 	links         *upstream.Links
 	tunnels       upstream.Tunnels // served for other gateways
+	bodies        *bodies.Storage  // nil if Options.Bodies is not set
+	// bodiesToStores is set while bodies of turns go to store hosts.
+	bodiesToStores atomic.Bool
 
 	poolMu sync.Mutex
 	pools  map[string]*upstream.Pool // by target
@@ -66,6 +72,9 @@
 		targets: balance.NewSet(opts.Zone),
 		pools:   map[string]*upstream.Pool{},
 	}
+	if opts.Bodies != nil {
+		g.bodies = bodies.New(opts.Bodies, clock.Now)
+	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.config = &follower{g: g, startedAt: clock.Now(), ready: make(chan struct{})}
 	g.leaderContact = &leaderContact{g: g}
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -57,9 +57,10 @@
 	if x.route.KeepsHistory {
 		req.Previous, req.WillKeep = x.req.PreviousTurn, true
 	}
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	req.AcceptsParts = x.g.bodies != nil
+	reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	reply, err := x.g.opts.Client.Reserve(ctx, req)
+	reply, err := x.g.opts.Client.Reserve(reserveCtx, req)
 	if e := errs.From(err); e != nil && e.Code == errs.Overloaded {
 		return e
 	}
@@ -72,8 +73,10 @@
 	switch ledgersm.Verdict(reply.Verdict) {
 	case ledgersm.OK:
 		x.reserved = true
-		x.history = reply.History
-		return x.adoptSource(reply.Source)
+		if err := x.adoptSource(reply.Source); err != nil {
+			return err
+		}
+		return x.loadHistory(ctx, reply)
 	case ledgersm.UnknownStream:
 		if x.adoptSoleVersion() {
 			return x.reserveTokens(ctx) // does not ask for the source again
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -22,10 +22,15 @@
 	limitedFirst, limitedRepeated metrics.Counter
 	// permitsRequested and permitsDenied count requests for permits to use such targets.
 	permitsRequested, permitsDenied metrics.Counter
-	latency                         metrics.Histogram // in microseconds
-	// servedLines and refusalLines bound the log lines of served requests and of refusals of
-	// targets.
-	servedLines, refusalLines lineLimiter
+	// bodiesStored and bodiesInline count the turns whose bodies were to go to store hosts: those that
+	// did, and those that the ledger keeps because too few store hosts took them. bodiesLoaded and
+	// bodiesUnavailable count histories with bodies on store hosts: those that were read and those that
+	// could not be.
+	bodiesStored, bodiesInline, bodiesLoaded, bodiesUnavailable metrics.Counter
+	latency                                                     metrics.Histogram // in microseconds
+	// servedLines, refusalLines and bodyLines bound the log lines of served requests, of refusals of
+	// targets, and of bodies that store hosts did not take.
+	servedLines, refusalLines, bodyLines lineLimiter
 }
 
 const (
@@ -50,7 +55,12 @@
 		limitedRepeated:  metrics.GetOrRegisterCounter("gateway.limited_sends.repeated", r),
 		permitsRequested: metrics.GetOrRegisterCounter("gateway.permits.requested", r),
 		permitsDenied:    metrics.GetOrRegisterCounter("gateway.permits.denied", r),
-		latency:          metrics.GetOrRegisterHistogram("gateway.latency_us", r, metrics.NewExpDecaySample(latencySamples, latencyDecay)),
+
+		bodiesStored:      metrics.GetOrRegisterCounter("gateway.bodies.stored", r),
+		bodiesInline:      metrics.GetOrRegisterCounter("gateway.bodies.inline", r),
+		bodiesLoaded:      metrics.GetOrRegisterCounter("gateway.bodies.loaded", r),
+		bodiesUnavailable: metrics.GetOrRegisterCounter("gateway.bodies.unavailable", r),
+		latency:           metrics.GetOrRegisterHistogram("gateway.latency_us", r, metrics.NewExpDecaySample(latencySamples, latencyDecay)),
 	}
 }
 
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -170,7 +170,7 @@
 		return sendResult{responded: true}
 	}
 	s.Keep, s.Input, s.Output = true, x.body, rec.output
-	if err := x.settle(context.WithoutCancel(ctx), s); err != nil {
+	if err := x.settleKept(context.WithoutCancel(ctx), s); err != nil {
 		e := errs.New(errs.OutcomeUnknown, "send the turn again", "the result of the turn could not be recorded: %v", err).WithRun(errs.Ran)
 		return sendResult{responded: true, err: e}
 	}
