--- a/controller/poll.go
+++ b/controller/poll.go
@@ -20,6 +20,7 @@
 	_, term := s.opts.Node.Leader(fleet.DocumentGroup)
 	s.hosts.recordPoll(term, req)
 	s.limits.report(clock.Now(), term, req.Limits)
+	s.stores.record(clock.Now(), term, req)
 	state := s.opts.Document.Get()
 	s.hosts.updateBlocked(&state)
 	reply := &fleet.PollReply{Version: state.Version, ZoneRevision: state.ZoneRevision, CrashesNotRecorded: !crashesRecorded}
@@ -32,6 +33,10 @@
 	if state.ZoneRevision != req.ZoneRevision {
 		reply.ZonesOut = state.ZonesOut()
 	}
+	if req.Store != nil || req.Features&fleet.FeatureBodies != 0 {
+		reply.Stores = s.stores.changeSince(req.Kind, req.KnownVersions.Stores)
+		reply.BodiesToStores = s.bodies.toStores.Load()
+	}
 	if req.Kind != fleet.KindGateway {
 		return reply, nil
 	}
--- a/statemachine/documentsm/machine.go
+++ b/statemachine/documentsm/machine.go
@@ -16,6 +16,9 @@
 	Zone *ZoneChange `msgpack:"z,omitempty"`
 	// Crashes is ignored by builds that keep crash records in the leader's memory.
 	Crashes *CrashReport `msgpack:"c,omitempty"`
+	// Retire and Bodies are sent only once all members have reported that they understand them.
+	Retire *Retirement   `msgpack:"rt,omitempty"`
+	Bodies *BodiesChange `msgpack:"bo,omitempty"`
 }
 
 // Put replaces the document if its version is higher than the stored one.
@@ -59,6 +62,10 @@
 	CrashReports map[string]uint64 `msgpack:"kr,omitempty"`
 	// CrashRevision is the number of changes of Crashes.
 	CrashRevision uint64 `msgpack:"kv,omitempty"`
+	// Retired holds the retirements of store hosts by name. Callers of Get must not modify it.
+	Retired map[string]Retirement `msgpack:"rt,omitempty"`
+	// Bodies is the state of the storage of turns on store hosts.
+	Bodies BodiesState `msgpack:"bo,omitempty"`
 }
 
 // Machine implements replica.StateMachine.
@@ -90,6 +97,10 @@
 		reply.Changed, reply.Overtaken = m.changeZone(c.Zone)
 	case c.Crashes != nil:
 		reply.Changed = m.countCrashes(logTime, c.Crashes)
+	case c.Retire != nil:
+		reply.Changed = m.retire(c.Retire)
+	case c.Bodies != nil:
+		reply.Changed = m.changeBodies(c.Bodies)
 	}
 	reply.Version = m.state.Version
 	out, err := msgpack.Marshal(reply)
