rollout, documentsm, controller, gateway, platform: roll-outs by version, first version

Cause: traffic of a service cannot be moved to another software version with a bounded exposure. Change: package rollout (verdict, share, budget, phases), durable orders in documentsm, the leader's loop, grants and version choice in gateways, operator API, figlbctl rollout, settings' bounds.

--- a/cmd/figlb-controller/main.go
+++ b/cmd/figlb-controller/main.go
@@ -75,7 +75,8 @@
 	srv := controller.New(controller.Options{
 		Node: r, Document: doc, Ledger: ledger, Lister: platform.NewTargetListClient(p.Host.TargetsAddress),
 		Decode: platform.Adapter{}.DecodeDocument, MinVoters: 2*p.Host.ToleratedLosses + 1,
-		MaxLedgerBytes: int64(p.Host.DiskMB) << 20 * ledgerDiskPercent / 100, Log: p.Log,
+		MaxLedgerBytes: int64(p.Host.DiskMB) << 20 * ledgerDiskPercent / 100,
+		Exposure:       p.Host.Exposure, MemberFeatures: p.Client.MemberFeatures, Log: p.Log,
 	})
 	srv.Register(w)
 	go w.Serve()
--- a/cmd/figlbctl/main.go
+++ b/cmd/figlbctl/main.go
@@ -2,18 +2,20 @@
 package main
 
 import (
+	"context"
 	"os"
 	"path/filepath"
 	"strings"
 
 	"github.com/figlb/figlb/command"
 	"github.com/figlb/figlb/pki"
+	"github.com/figlb/figlb/platform"
 	"github.com/figlb/figlb/settings"
 	"github.com/figlb/figlb/stateclient"
 )
 
 func main() {
-	env := &command.Env{Stdout: os.Stdout, Stderr: os.Stderr, Connect: connect}
+	env := &command.Env{Stdout: os.Stdout, Stderr: os.Stderr, Connect: connect, ConnectRollouts: connectRollouts}
 	os.Exit(command.Run(env, os.Args[1:]))
 }
 
@@ -36,6 +38,22 @@
 	return client, nil
 }
 
+// rollouts adapts the client of the operator API.
+type rollouts struct{ *platform.RolloutClient }
+
+func connectRollouts(address string) command.Rollouts {
+	return rollouts{&platform.RolloutClient{Address: address}}
+}
+
+// State implements command.Rollouts.
+func (r rollouts) State(ctx context.Context, service string) (state, to, reason string, err error) {
+	s, err := r.RolloutClient.State(ctx, service)
+	if err != nil {
+		return "", "", "", err
+	}
+	return s.State, s.To, s.Reason, nil
+}
+
 // tlsSettings returns the file names of the operator's certificate in dir. An empty dir
 // turns TLS off.
 func tlsSettings(dir string) settings.TLS {
--- a/command/command.go
+++ b/command/command.go
@@ -33,6 +33,8 @@
 	Stderr io.Writer
 	// Connect returns a client of the state members. Tests replace it.
 	Connect func(c *CommonFlags) (API, error)
+	// ConnectRollouts returns a client of the operator API at an address.
+	ConnectRollouts func(address string) Rollouts
 }
 
 // CommonFlags holds the flags shared by all verbs that contact the state members.
@@ -227,6 +229,7 @@
 		orderSubmitVerb(), orderListVerb(), callGetVerb(), callResolveVerb(),
 		fingerprintListVerb(), fingerprintLiftVerb(), memberListVerb(), memberRemoveVerb(),
 		snapshotSaveVerb(), snapshotLoadVerb(), certInitVerb(), certIssueVerb(), versionVerb(),
+		rolloutStartVerb(), rolloutStatusVerb(),
 	}
 	sort.SliceStable(vs, func(i, j int) bool { return vs[i].name < vs[j].name })
 	return vs
--- a/controller/hosts.go
+++ b/controller/hosts.go
@@ -59,6 +59,7 @@
 	kind, zone        string
 	address           string // at which a gateway answers other gateways
 	cutOff            bool   // the gateway reaches no target directly
+	features          uint64 // that the host understands
 	lastPoll          time.Duration
 	inFlight          map[string]int32
 	idleEventInterval map[string]float64 // time between events of idle engines by service, in ms
@@ -100,7 +101,7 @@
 		t.countHost(h, 1)
 		t.log.Info("host joined", "peer", req.Host, "kind", req.Kind, "zone", req.Zone)
 	}
-	h.zone, h.address, h.cutOff, h.lastPoll = req.Zone, req.Address, req.CutOff, now
+	h.zone, h.address, h.cutOff, h.lastPoll, h.features = req.Zone, req.Address, req.CutOff, now, req.Features
 	t.loads.replace(h.inFlight, req.InFlight)
 	h.inFlight = req.InFlight
 	t.outcomes.add(now, req.Zone, req.Outcomes)
@@ -274,6 +275,29 @@
 	return out
 }
 
+// gatewayNames returns the names of the gateways in contact, sorted, and of those that lack a feature.
+// settled is false while a new leader may not have received a poll from each of them yet.
+func (t *hostTable) gatewayNames(term, feature uint64) (names, lacking []string, settled bool) {
+	const featureSettleTime = time.Second
+	now := clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.startTerm(term, now)
+	t.expire(now)
+	for name, h := range t.hosts {
+		if h.kind != fleet.KindGateway {
+			continue
+		}
+		names = append(names, name)
+		if h.features&feature == 0 {
+			lacking = append(lacking, name)
+		}
+	}
+	slices.Sort(names)
+	slices.Sort(lacking)
+	return names, lacking, now-t.termStart > featureSettleTime
+}
+
 // list returns the hosts sorted by name.
 func (t *hostTable) list(term uint64) *fleet.HostsReply {
 	now := clock.Now()
--- a/controller/poll.go
+++ b/controller/poll.go
@@ -19,6 +19,7 @@
 	_, term := s.opts.Node.Leader(fleet.DocumentGroup)
 	s.hosts.recordPoll(term, req)
 	s.limits.report(clock.Now(), term, req.Limits)
+	s.rollouts.record(clock.Now(), term, req)
 	state := s.opts.Document.Get()
 	reply := &fleet.PollReply{Version: state.Version, ZoneRevision: state.ZoneRevision}
 	if members := slices.Sorted(slices.Values(s.opts.Node.Members())); fleet.DigestStrings(members) != req.Members {
@@ -41,6 +42,9 @@
 	if reply.Targets, err = s.targetList.changeSince(term, req.Targets); err != nil {
 		return err
 	}
+	// Roll-outs are read after the list of targets: a target of a new version that is listed was started
+	// after the order was acknowledged.
+	s.fillRollouts(reply)
 	listDigest := req.Targets
 	if reply.Targets != nil {
 		listDigest = reply.Targets.Digest
--- a/controller/server.go
+++ b/controller/server.go
@@ -12,6 +12,7 @@
 	"github.com/figlb/figlb/fleet"
 	"github.com/figlb/figlb/internal/clock"
 	"github.com/figlb/figlb/replica"
+	"github.com/figlb/figlb/rollout"
 	"github.com/figlb/figlb/routing"
 	"github.com/figlb/figlb/statemachine/documentsm"
 	"github.com/figlb/figlb/statemachine/ledgersm"
@@ -45,6 +46,11 @@
 	// MaxLedgerBytes is the total size of kept turns from which new programs that keep turns are
 	// refused; 0 means no limit. Beyond it, the ledger would fill the disks of all members.
 	MaxLedgerBytes int64
+	// Exposure bounds what a bad software version may get during a roll-out; zero values mean the defaults.
+	Exposure rollout.Bounds
+	// MemberFeatures returns the features of the member at an address; a member of an older build fails
+	// with NotFound. It may be nil if there are no other members.
+	MemberFeatures func(ctx context.Context, address string) (uint64, error)
 	Log            logr.Logger
 }
 
@@ -56,6 +62,7 @@
 	rates      rateTable
 	limits     limitTable
 	targetList targetList
+	rollouts   rolloutTable
 	// ledgerFull is set while new programs that keep turns are refused.
 	ledgerFull atomic.Bool
 }
@@ -65,6 +72,7 @@
 func New(opts Options) *Server {
 	s := &Server{opts: opts, log: opts.Log}
 	s.hosts.log, s.hosts.outcomes.log, s.limits.log = opts.Log, opts.Log, opts.Log
+	s.rollouts.log, s.rollouts.bounds = opts.Log, opts.Exposure.WithDefaults()
 	return s
 }
 
@@ -83,6 +91,10 @@
 	fleet.Handle(w, fleet.MethodProgram, s.programBegun)
 	fleet.Handle(w, fleet.MethodStream, s.recordStream)
 	fleet.Handle(w, fleet.MethodContact, s.contact)
+	fleet.Handle(w, fleet.MethodRollout, s.startRollout)
+	fleet.Handle(w, fleet.MethodRolloutState, s.rolloutState)
+	fleet.Handle(w, fleet.MethodExposure, s.exposure)
+	fleet.Handle(w, fleet.MethodFeatures, features)
 }
 
 // contact confirms to a host that it reaches the leader. Other members return NotLeader.
--- a/controller/targets.go
+++ b/controller/targets.go
@@ -9,6 +9,7 @@
 
 	"github.com/figlb/figlb/fleet"
 	"github.com/figlb/figlb/internal/clock"
+	"github.com/figlb/figlb/internal/periodic"
 )
 
 const (
@@ -47,6 +48,7 @@
 // Run reads the list of targets until ctx ends: once at the start, so that a member that is
 // elected right afterwards has a list, and then while this member leads the document group.
 func (s *Server) Run(ctx context.Context) {
+	go periodic.Run(ctx, rolloutInterval, periodic.Always(s.advanceRollouts))
 	s.readTargets(ctx, s.leadingTerm())
 	next := clock.Now() + s.targetList.readInterval()
 	led := s.leadingTerm()
@@ -185,6 +187,19 @@
 	return change, err
 }
 
+// versions reports whether a service has listed targets of a software version, and of others.
+func (l *targetList) versions(service, version string) (listed, others bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, t := range l.targets {
+		if t.Service == service {
+			listed = listed || t.Version == version
+			others = others || t.Version != version
+		}
+	}
+	return listed, others
+}
+
 // encodeWhole encodes the list once for all hosts that need it.
 func (l *targetList) encodeWhole(change *fleet.TargetChange) (err error) {
 	if l.encoded == nil {
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -70,6 +70,8 @@
 	Store *StoreReport `msgpack:"st,omitempty"`
 	// Features holds the features that the host understands, such as FeatureBodies.
 	Features uint64 `msgpack:"fe,omitempty"`
+	// VersionOutcomes holds a report for each roll-out that the host knows of and that has not ended.
+	VersionOutcomes []RolloutReport `msgpack:"vo,omitempty"`
 }
 
 // KnownVersions identifies the version of each item that a host holds and that polls keep up to
@@ -140,6 +142,10 @@
 	Stores *StoreView `msgpack:"st,omitempty"`
 	// BodiesToStores is set while gateways store the bodies of turns on store hosts.
 	BodiesToStores bool `msgpack:"bs,omitempty"`
+	// Rollouts holds all roll-outs that restrict the choice of a version. It is valid only if
+	// RolloutsKnown is set, which older builds do not do.
+	Rollouts      []Rollout `msgpack:"ro,omitempty"`
+	RolloutsKnown bool      `msgpack:"rk,omitempty"`
 }
 
 // TunnelRequest asks a gateway for a connection to a target.
--- a/gateway/balance/choose.go
+++ b/gateway/balance/choose.go
@@ -15,6 +15,11 @@
 	Service string
 	// Version restricts the choice to targets of a software version; empty: any.
 	Version string
+	// NotVersion leaves out targets of a software version; empty: none.
+	NotVersion string
+	// TrialPart restricts the choice to this part of the targets of Version, so that a version which
+	// gets few requests has them at targets with the usual load; 0: no restriction.
+	TrialPart float64
 	// Affinity is the affinity key. Requests with the same key run faster on the same target,
 	// which has their prompt cached. Empty means no affinity.
 	Affinity string
@@ -57,6 +62,7 @@
 // acquire counts a request as in flight at a target. The caller holds mu.
 func (s *Set) acquire(now time.Duration, t *Target) {
 	s.demandOf(t.Service).sent++
+	s.inFlight[versionKey{t.Service, t.Version}]++
 	if t.coldUntil > now {
 		t.coldTokens.take()
 	}
@@ -77,8 +83,9 @@
 	perSecond := ratePerGateway(s.coldLimits[c.Service], s.gateways)
 	var ejected []*Target
 	reason = "all targets are draining, excluded, out of service or of another version"
+	trial := s.trialTargets(now, c)
 	for _, t := range all {
-		if !s.admits(c, t) {
+		if !s.admits(c, t) || trial != nil && !slices.Contains(trial, t) {
 			continue
 		}
 		if t.coldUntil > now && perSecond > 0 && !t.coldTokens.available(now, perSecond) {
@@ -104,7 +111,10 @@
 // admits reports whether a target may take the request as far as its state, its version and the
 // targets that have failed the request are concerned. The caller holds mu.
 func (s *Set) admits(c *Criteria, t *Target) bool {
-	return s.usable(t) && (c.Version == "" || t.Version == c.Version) && !slices.Contains(c.Exclude, t.ID)
+	if c.Version != "" && t.Version != c.Version || c.NotVersion != "" && t.Version == c.NotVersion {
+		return false
+	}
+	return s.usable(t) && !slices.Contains(c.Exclude, t.ID)
 }
 
 // slots returns the number of requests that the target runs concurrently, at least 1.
--- a/gateway/balance/limit.go
+++ b/gateway/balance/limit.go
@@ -239,9 +239,10 @@
 // those that are ejected apart. The caller holds mu.
 func (s *Set) limitedTargets(now time.Duration, c *Criteria) (limited, ejected []*Target) {
 	perSecond := ratePerGateway(s.coldLimits[c.Service], s.gateways)
+	trial := s.trialTargets(now, c)
 	for _, t := range s.byService[c.Service] {
 		switch {
-		case !t.limit.active() || !s.admits(c, t):
+		case !t.limit.active() || !s.admits(c, t) || trial != nil && !slices.Contains(trial, t):
 		case t.coldUntil > now && perSecond > 0 && !t.coldTokens.available(now, perSecond):
 		case t.ejectedUntil > now:
 			ejected = append(ejected, t)
--- a/gateway/balance/set.go
+++ b/gateway/balance/set.go
@@ -26,6 +26,8 @@
 	coldLimits map[string]float64       // by service: requests per second to one cold target from all gateways
 	demands    map[string]*demand       // by service
 	versions   map[string]*versionWatch // by service
+	inFlight   map[versionKey]int32     // requests of this gateway
+	rules      map[string]VersionRule   // by service
 }
 
 // NewSet returns an empty set for a gateway in the given availability zone.
@@ -39,6 +41,7 @@
 		coldLimits: map[string]float64{},
 		demands:    map[string]*demand{},
 		versions:   map[string]*versionWatch{},
+		inFlight:   map[versionKey]int32{},
 	}
 }
 
@@ -267,7 +270,7 @@
 	defer s.mu.Unlock()
 	var targets []*Target
 	for _, t := range s.byService[service] {
-		if s.usable(t) && t.ejectedUntil <= now {
+		if s.usable(t) && t.ejectedUntil <= now && s.rules[service].admits(t.Version) {
 			targets = append(targets, t)
 		}
 	}
@@ -298,6 +301,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t.inFlight--
+	key := versionKey{t.Service, t.Version}
+	if s.inFlight[key]--; s.inFlight[key] == 0 {
+		delete(s.inFlight, key)
+	}
 }
 
 // Outcome is what a request revealed about its target.
--- a/gateway/balance/versions.go
+++ b/gateway/balance/versions.go
@@ -1,6 +1,11 @@
 package balance
 
-import "time"
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
 
 // versionWatch tracks since when all listed targets of a service run the same software version.
 type versionWatch struct {
@@ -46,7 +51,7 @@
 func (s *Set) PreferredVersion(now time.Duration, c *Criteria) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if w := s.versions[c.Service]; w != nil && !w.mixed {
+	if w := s.versions[c.Service]; w != nil && !w.mixed && c.Version == "" && c.NotVersion == "" {
 		return w.version, true
 	}
 	candidates, _ := s.eligible(now, c)
@@ -67,3 +72,66 @@
 	}
 	return false
 }
+
+// versionKey identifies a software version of a service.
+type versionKey struct{ service, version string }
+
+// InFlightExcept returns the number of requests of this gateway that are in flight at targets of a
+// service with another software version than the given one, targets that are no longer listed included.
+func (s *Set) InFlightExcept(service, version string) (n int32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, count := range s.inFlight {
+		if k.service == service && k.version != version {
+			n += count
+		}
+	}
+	return n
+}
+
+// VersionRule tells which versions of a service carry its load during a roll-out: only those with the
+// name Only, or all but Not. The zero value admits all.
+type VersionRule struct{ Only, Not string }
+
+func (r VersionRule) admits(version string) bool {
+	return (r.Only == "" || version == r.Only) && (r.Not == "" || version != r.Not)
+}
+
+// SetVersionRules sets, by service, the versions whose targets count in Utilisation. It does not restrict
+// the choice of a target, which Criteria do.
+func (s *Set) SetVersionRules(rules map[string]VersionRule) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rules = rules
+}
+
+// minTrialTargets is the least number of targets that a version on trial uses: with fewer, a single
+// failing target could not be told from a bad version.
+const minTrialTargets = 3
+
+// trialTargets returns the targets to which TrialPart restricts the choice, or nil. All gateways choose
+// the same ones, as far as they agree on which are usable. The caller holds mu.
+func (s *Set) trialTargets(now time.Duration, c *Criteria) []*Target {
+	if c.TrialPart <= 0 || c.Version == "" {
+		return nil
+	}
+	var all []*Target
+	for _, t := range s.byService[c.Service] {
+		if t.Version == c.Version && s.usable(t) && t.ejectedUntil <= now {
+			all = append(all, t)
+		}
+	}
+	n := max(int(math.Ceil(c.TrialPart*float64(len(all)))), minTrialTargets)
+	if n >= len(all) {
+		return nil
+	}
+	slices.SortFunc(all, func(a, b *Target) int { return cmp.Compare(a.hash, b.hash) })
+	return all[:n]
+}
+
+// IsCold reports whether a target is cold.
+func (s *Set) IsCold(now time.Duration, t *Target) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return t.coldUntil > now
+}
--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -46,6 +46,7 @@
 	registerRelay(g, s, fleet.MethodPoll, c.Poll)
 	registerRelay(g, s, fleet.MethodRate, c.RequestGrant)
 	registerRelay(g, s, fleet.MethodPermit, c.Permit)
+	registerRelay(g, s, fleet.MethodExposure, c.Exposure)
 	registerRelay(g, s, fleet.MethodReserve, c.Reserve)
 	registerRelay(g, s, fleet.MethodSettle, c.Settle)
 	registerRelay(g, s, fleet.MethodProgram, c.Program)
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -54,6 +54,15 @@
 	}
 }
 
+// meanPause returns the mean time between the events, or 0 if there were too few.
+func (e *eventRecorder) meanPause() time.Duration {
+	const minEvents = 3
+	if e.count < minEvents {
+		return 0
+	}
+	return (e.lastAt - e.firstAt) / time.Duration(e.count-1)
+}
+
 // checkComplete fails if the bytes so far end inside an event or a line, where no whole stream ends.
 func (e *eventRecorder) checkComplete() error {
 	if len(e.line) > 0 || e.inEvent {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -34,6 +34,7 @@
 	reserved bool     // tokens of the program's budget are reserved in the ledger
 	targets  []string // ids of the targets that were tried, in order
 	version  string   // software version of the last of them
+	granted  bool     // the next request to a version on trial has been granted
 	// source is the recorded source of a resumable stream, or the one that must go on with it.
 	// sourceRevision numbers the records, and sourceRecorded gets the outcome of the last one; nil if
 	// it is known.
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -174,7 +174,9 @@
 	g := f.g
 	now := clock.Now()
 	f.known.Version = f.version()
+	reports := g.rollouts.reports() // states what is applied before the requests in flight are counted
 	req := &fleet.PollRequest{
+		Features: fleet.KnownFeatures(), VersionOutcomes: reports,
 		Host: g.opts.Host, Kind: fleet.KindGateway, Zone: g.opts.Zone, Address: g.opts.Address,
 		KnownVersions:     f.known,
 		InFlight:          g.targets.InFlight(),
@@ -225,6 +227,9 @@
 		g.targets.SetZonesOut(reply.ZonesOut)
 		g.log.Info("availability zones out of service changed", "zones", reply.ZonesOut, "marks", reply.ZoneRevision)
 	}
+	if reply.RolloutsKnown {
+		g.rollouts.apply(sent, reply.Rollouts) // before targets of a new version are known
+	}
 	if err := f.applyTargetChange(reply.Targets); err != nil {
 		g.log.Error(err, "cannot decode the list of targets; keeping the previous one")
 		return
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -42,7 +42,7 @@
 	ran, lost := 0, 0 // lost counts the targets from which this host was cut off
 	var last sendResult
 	for n := 0; n < maxSends && ctx.Err() == nil; n++ {
-		t, err := x.acquireFromSource(ctx, &criteria)
+		t, err := x.acquireVersion(ctx, &criteria)
 		if err != nil {
 			if len(criteria.Exclude) > 0 && sleep(ctx, allRefusedPause) {
 				criteria.Exclude = nil
@@ -121,6 +121,10 @@
 		x.g.targets.RecordResponse(clock.Now(), t)
 		return sendResult{err: err, notRun: true}
 	}
+	if !x.g.rollouts.beginSend(t, x.granted) {
+		x.g.targets.RecordResponse(clock.Now(), t)
+		return sendResult{err: errors.Errorf("the roll-out of service %s does not admit version %q now", t.Service, t.Version), notRun: true}
+	}
 	x.recordSource(ctx, t)
 	x.countLimitedSend(t)
 	sent := clock.Now()
@@ -211,6 +215,7 @@
 		return sendResult{err: err, notRun: notSent, cutOff: true}
 	}
 	if !full {
+		x.g.rollouts.recordBad(x.route.Name, t)
 		x.observe(t, &balance.Outcome{Failed: true, Load: -1})
 		x.g.log.Info("target failed", "request", x.req.ID, "target", t.ID, "not_sent", notSent, "reason", err.Error(), "after_ms", (clock.Now() - sent).Milliseconds())
 	}
@@ -224,6 +229,7 @@
 // request ended.
 func (x *exchange) recordCancel(t *balance.Target, sent time.Duration) {
 	if clock.Now()-sent > slowResponse && !x.g.links.CutOffSince(sent) {
+		x.g.rollouts.recordBad(x.route.Name, t)
 		x.observe(t, &balance.Outcome{Failed: true, Load: -1})
 	}
 }
@@ -234,6 +240,9 @@
 
 // rejectResponse handles a response that cannot be passed on although the request has run.
 func (x *exchange) rejectResponse(t *balance.Target, err error) sendResult {
+	if x.r.Context().Err() == nil {
+		x.g.rollouts.recordBad(x.route.Name, t)
+	}
 	x.observe(t, &balance.Outcome{Failed: true, Load: -1})
 	x.g.log.Info("target sent an invalid response", "request", x.req.ID, "target", t.ID, "reason", err.Error())
 	return sendResult{err: err}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,7 @@
 	turns         turnTimes
 	links         *upstream.Links
 	tunnels       upstream.Tunnels // served for other gateways
+	rollouts      rollouts
 
 	poolMu sync.Mutex
 	pools  map[string]*upstream.Pool // by target
@@ -69,6 +70,7 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.config = &follower{g: g, startedAt: clock.Now(), ready: make(chan struct{})}
 	g.leaderContact = &leaderContact{g: g}
+	g.rollouts.g = g
 	g.links = g.newLinks()
 	g.admissions = newAdmission(g)
 	g.settler = newSettler(g)
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -36,8 +36,16 @@
 	}
 	ok := resp.StatusCode < http.StatusInternalServerError
 	x.observe(t, &balance.Outcome{OK: ok, Errored: !ok, Slowness: x.slowness(sent), Load: -1})
+	if !ok {
+		x.g.rollouts.recordBad(x.route.Name, t)
+	} else {
+		x.g.rollouts.recordFirst(x.route.Name, t, clock.Now()-sent)
+	}
 	if len(body) > maxBufferedBytes {
-		return x.writeLongResponse(t, resp, body)
+		return x.writeLongResponse(t, resp, body, ok)
+	}
+	if ok {
+		x.g.rollouts.recordGood(x.route.Name, t, 0)
 	}
 	resp.Finish(true)
 	x.status = resp.StatusCode
@@ -49,7 +57,7 @@
 // writeLongResponse passes on the first bytes of a response, which have been read, and the rest
 // as it arrives. If the response is truncated the connection to the caller is closed, so that
 // it does not look complete.
-func (x *exchange) writeLongResponse(t *balance.Target, resp *upstream.Response, head []byte) sendResult {
+func (x *exchange) writeLongResponse(t *balance.Target, resp *upstream.Response, head []byte, ok bool) sendResult {
 	length := ""
 	if resp.ContentLength >= 0 {
 		length = strconv.FormatInt(resp.ContentLength, 10)
@@ -60,10 +68,16 @@
 	resp.Finish(err == nil)
 	if err != nil {
 		x.observe(t, &balance.Outcome{Failed: x.r.Context().Err() == nil, Load: -1})
+		if ok && x.r.Context().Err() == nil {
+			x.g.rollouts.recordBad(x.route.Name, t)
+		}
 		e := errs.New(errs.TargetFailed, "send the request again if it may be repeated",
 			"the response of target %s ended early after %d bytes: %v", t.ID, copied, x.abortCause(x.r.Context(), err)).WithRun(errs.Ran)
 		return sendResult{responded: true, err: e}
 	}
+	if ok {
+		x.g.rollouts.recordGood(x.route.Name, t, 0)
+	}
 	x.status, x.note = resp.StatusCode, ""
 	return sendResult{responded: true}
 }
@@ -109,6 +123,7 @@
 	x.recordEventInterval(rec)
 	if err == nil {
 		x.g.turns.record(x.route.Name, clock.Now()-sent)
+		x.g.rollouts.recordGood(x.route.Name, t, rec.meanPause())
 	}
 	switch {
 	case err != nil && x.note != noteStarted:
@@ -132,6 +147,7 @@
 				first = false
 				x.note = noteStarted
 				x.observe(t, &balance.Outcome{OK: true, Slowness: x.slowness(sent), Load: -1})
+				x.g.rollouts.recordFirst(x.route.Name, t, clock.Now()-sent)
 				x.writeHeader(resp.Response, "")
 			}
 			if rerr := rec.add(buf[:n]); rerr != nil {
@@ -184,6 +200,9 @@
 	if x.reserved {
 		x.settleAsync(&ledgersm.Settle{Tokens: x.tokensSent(rec)})
 	}
+	if x.r.Context().Err() == nil && !x.g.links.CutOffSince(sent) {
+		x.g.rollouts.recordBad(x.route.Name, t) // also if the time was up: a stream that does not end is bad
+	}
 	if ctx.Err() == nil && !x.g.links.CutOffSince(sent) {
 		x.observe(t, &balance.Outcome{Failed: true, Load: -1})
 	}
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -50,7 +50,7 @@
 		return r
 	}
 	c := x.criteria()
-	if version, ok := x.g.targets.PreferredVersion(clock.Now(), &c); ok {
+	if version, ok := x.preferredVersion(&c); ok {
 		x.source = ledgersm.StreamSource{Service: c.Service, Version: version}
 		r.Source = x.source
 	}
--- /dev/null
+++ b/rollout/verdict.go
@@ -0,0 +1,225 @@
+package rollout
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+)
+
+// Kind is the kind of a verdict.
+type Kind int
+
+// Kinds of verdicts.
+const (
+	Undecided Kind = iota
+	Good
+	Bad
+)
+
+// Verdict is the judgement of a new version.
+type Verdict struct {
+	Kind   Kind
+	Reason string // names route, aspect and counts
+}
+
+// The verdict rests on sequential probability ratio tests. For each route and aspect, the hypothesis that
+// the new version is as bad as the old one (rate p0 of bad requests) is compared with the hypothesis that
+// it is clearly worse (rate p1). The score is the logarithm of the ratio of their likelihoods: positive
+// for a good version. p0 follows from the old version in the same seconds, so that bursts, lost hosts and
+// failing targets that hit both versions count for neither verdict.
+const (
+	// badScore is the score at which a version is bad. With it, a version that is exactly as bad as p0 is
+	// rolled back with a probability below exp(badScore) for each test.
+	badScore = -6.0
+	// goodScore is the score for a good verdict over all routes, and goodRouteScore that for each route
+	// with at least minRoutePart of the service's requests. A rarer route must have a score above
+	// rareRouteScore.
+	goodScore      = 2.5
+	goodRouteScore = 1.2
+	minRoutePart   = 0.1
+	rareRouteScore = -1.0
+	// minTargets is the number of targets from which the worst one is left out if its own score is
+	// negative: a single failing target says nothing about the version.
+	minTargets = 3
+)
+
+// test is a pair of hypotheses: p0 is margin times the old version's rate and at least floor; p1 exceeds
+// p0 by step, or by p0 if that is more.
+type test struct {
+	name                string
+	floor, margin, step float64
+}
+
+var (
+	// Failures: services fail about one request in a hundred on their own.
+	failureTest = test{name: "failures", floor: 0.02, margin: 1.5, step: 0.12}
+	// Late requests: a new target has no prompts cached, so that some first turns are late.
+	lateTest = test{name: "late", floor: 0.08, margin: 1.5, step: 0.25}
+	// With the whole load, and without the old version in the same seconds, only a plain change counts.
+	loadedFailureTest = test{name: "failures with the whole load", floor: 0.1, margin: 2, step: 0.25}
+	loadedLateTest    = test{name: "late with the whole load", floor: 0.3, margin: 2, step: 0.4}
+)
+
+// score returns the log-likelihood ratio for bad of n requests at the new version, and badOld of nOld at
+// the old one.
+func (t *test) score(bad, n, badOld, nOld int) float64 {
+	const maxRate = 0.95
+	p0 := min(max(t.floor, t.margin*(float64(badOld)+0.5)/(float64(nOld)+1)), maxRate)
+	if nOld == 0 {
+		p0 = t.floor
+	}
+	p1 := min(p0+max(t.step, p0), (1+maxRate)/2)
+	return float64(bad)*math.Log(p0/p1) + float64(n-bad)*math.Log((1-p0)/(1-p1))
+}
+
+const (
+	// lateQuantile and lateAbove define late requests: lateAbove buckets (a factor of 1.4) above that
+	// quantile of the old version, and at least lateFactor buckets (a factor of 2.1) above its median.
+	lateQuantile = 0.9
+	lateAbove    = 2
+	lateFactor   = 4
+	// minOldTimes is the number of the old version's times that are needed for a comparison.
+	minOldTimes = 8
+	// loadedLateAbove is added with the whole load: another factor of 2.
+	loadedLateAbove = 4
+)
+
+// aspect is one way in which requests may be bad.
+type aspect struct {
+	test
+	count func(c *Counts, bucket int) (bad, n int)
+	times func(c *Counts) Histogram // nil: no times
+	above int
+}
+
+func failures(c *Counts, _ int) (bad, n int) { return int(c.Bad), int(max(c.Requests, c.Bad)) }
+
+func timesOf(f func(*Counts) Histogram) func(*Counts, int) (bad, n int) {
+	return func(c *Counts, bucket int) (bad, n int) { return f(c).from(bucket), f(c).total() }
+}
+
+func first(c *Counts) Histogram { return c.First }
+func pace(c *Counts) Histogram  { return c.Pace }
+
+func aspects(failure, late test, above int) []aspect {
+	slowFirst, slowPace := late, late
+	slowFirst.name, slowPace.name = late.name+" (first event)", late.name+" (pace of events)"
+	return []aspect{
+		{test: failure, count: failures},
+		{test: slowFirst, count: timesOf(first), times: first, above: above},
+		{test: slowPace, count: timesOf(pace), times: pace, above: above},
+	}
+}
+
+var (
+	trialAspects  = aspects(failureTest, lateTest, 0)
+	loadedAspects = aspects(loadedFailureTest, loadedLateTest, loadedLateAbove)
+)
+
+// result is the outcome of one test.
+type result struct {
+	score                float64
+	bad, n, badOld, nOld int
+	usable               bool // there was something to compare with
+}
+
+// judge applies an aspect to a route.
+func (a *aspect) judge(r *RouteCounts) result {
+	bucket := 0
+	if a.times != nil {
+		old := a.times(&r.Old)
+		if old.total() < minOldTimes {
+			return result{}
+		}
+		bucket = max(old.quantile(lateQuantile)+lateAbove, old.quantile(0.5)+lateFactor) + a.above
+	}
+	res := result{usable: true}
+	res.badOld, res.nOld = a.count(&r.Old, bucket)
+	worst, targets := math.Inf(1), 0
+	var worstBad, worstN int
+	for _, c := range r.New {
+		bad, n := a.count(c, bucket)
+		if n == 0 {
+			continue
+		}
+		res.bad, res.n = res.bad+bad, res.n+n
+		targets++
+		if s := a.score(bad, n, res.badOld, res.nOld); s < worst {
+			worst, worstBad, worstN = s, bad, n
+		}
+	}
+	if targets >= minTargets && worst < 0 {
+		res.bad, res.n = res.bad-worstBad, res.n-worstN
+	}
+	res.score = a.score(res.bad, res.n, res.badOld, res.nOld)
+	return res
+}
+
+// Judge judges a version on trial by the sums since it has begun to get requests and those of the last
+// seconds, in which a version may have turned bad.
+func Judge(whole, recent Evidence) Verdict {
+	if v := findBad(whole, trialAspects, "since the beginning"); v.Kind == Bad {
+		return v
+	}
+	if v := findBad(recent, trialAspects, "in the last seconds"); v.Kind == Bad {
+		return v
+	}
+	return findGood(whole)
+}
+
+// JudgeLoaded judges a version that gets all requests, by its requests since then and those of the old
+// version before.
+func JudgeLoaded(e Evidence) Verdict { return findBad(e, loadedAspects, "with the whole load") }
+
+// findBad returns a bad verdict if a test says so for a route or for all routes together.
+func findBad(e Evidence, as []aspect, when string) Verdict {
+	for i := range as {
+		sum := 0.0
+		for _, route := range slices.Sorted(maps.Keys(e)) {
+			res := as[i].judge(e[route])
+			if res.score <= badScore {
+				return Verdict{Kind: Bad, Reason: fmt.Sprintf("%s on route %s %s: %d of %d requests, at the old version %d of %d",
+					as[i].name, route, when, res.bad, res.n, res.badOld, res.nOld)}
+			}
+			sum += res.score
+		}
+		if sum <= badScore {
+			return Verdict{Kind: Bad, Reason: fmt.Sprintf("%s over all routes %s, score %.1f", as[i].name, when, sum)}
+		}
+	}
+	return Verdict{}
+}
+
+// findGood returns a good verdict if all tests say so, each with enough evidence.
+func findGood(e Evidence) Verdict {
+	all := 0
+	for _, r := range e {
+		all += int(r.Old.Requests)
+	}
+	for i := range trialAspects {
+		a := &trialAspects[i]
+		sum, usable := 0.0, i == 0
+		for _, route := range slices.Sorted(maps.Keys(e)) {
+			r := e[route]
+			res := a.judge(r)
+			if !res.usable {
+				continue
+			}
+			usable = true
+			needed := goodRouteScore
+			if float64(r.Old.Requests) < minRoutePart*float64(all) {
+				needed = rareRouteScore
+			}
+			if res.score < needed {
+				return Verdict{Reason: fmt.Sprintf("%s on route %s: %d of %d requests, at the old version %d of %d, score %.1f of %.1f",
+					a.name, route, res.bad, res.n, res.badOld, res.nOld, res.score, needed)}
+			}
+			sum += res.score
+		}
+		if usable && sum < goodScore {
+			return Verdict{Reason: fmt.Sprintf("%s over all routes: score %.1f of %.1f", a.name, sum, goodScore)}
+		}
+	}
+	return Verdict{Kind: Good, Reason: fmt.Sprintf("%d requests at the new version are as good as at the old one", e.New())}
+}
--- a/settings/host.go
+++ b/settings/host.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"time"
+
+	"github.com/figlb/figlb/rollout"
 )
 
 // Host is the settings of a process that gets them from the platform: what it needs to
@@ -33,6 +35,8 @@
 	// StopGracePeriod is the time between the signal to stop and the forced termination of the
 	// process.
 	StopGracePeriod time.Duration
+	// Exposure bounds what a bad software version may get during a roll-out.
+	Exposure rollout.Bounds
 	// BindIP is the IP address to listen on in place of the host's own, for hosts behind
 	// forwarded ports; if empty, the process listens on the address at which others reach
 	// it.
--- a/stateclient/fleet.go
+++ b/stateclient/fleet.go
@@ -87,3 +87,28 @@
 func (c *Client) Program(ctx context.Context, req *fleet.ProgramRequest) (*fleet.ProgramReply, error) {
 	return callController[fleet.ProgramReply](ctx, c, fleet.LedgerGroup, fleet.MethodProgram, false, req)
 }
+
+// StartRollout orders a roll-out. It may be repeated under the same number.
+func (c *Client) StartRollout(ctx context.Context, req *fleet.RolloutRequest) (*struct{}, error) {
+	return callController[struct{}](ctx, c, fleet.DocumentGroup, fleet.MethodRollout, true, req)
+}
+
+// RolloutState returns the state of the latest roll-out of a service.
+func (c *Client) RolloutState(ctx context.Context, req *fleet.RolloutStateRequest) (*fleet.RolloutStatus, error) {
+	return callController[fleet.RolloutStatus](ctx, c, fleet.DocumentGroup, fleet.MethodRolloutState, false, req)
+}
+
+// Exposure asks for the permission to send one request to a version on trial.
+func (c *Client) Exposure(ctx context.Context, req *fleet.ExposureRequest) (*fleet.ExposureReply, error) {
+	return callController[fleet.ExposureReply](ctx, c, fleet.DocumentGroup, fleet.MethodExposure, false, req)
+}
+
+// MemberFeatures returns the features that a member understands. A member of an older build fails with
+// NotFound.
+func (c *Client) MemberFeatures(ctx context.Context, member string) (uint64, error) {
+	reply, err := attempt[fleet.FeaturesReply](ctx, c, member, &request{method: fleet.MethodFeatures, timeout: controllerAttemptTimeout}, struct{}{})
+	if err != nil {
+		return 0, err
+	}
+	return reply.Features, nil
+}
--- a/statemachine/documentsm/machine.go
+++ b/statemachine/documentsm/machine.go
@@ -14,6 +14,9 @@
 type Command struct {
 	Put  *Put        `msgpack:"p,omitempty"`
 	Zone *ZoneChange `msgpack:"z,omitempty"`
+	// RolloutStart and RolloutStep are proposed only while all members know roll-outs.
+	RolloutStart *RolloutStart `msgpack:"rs,omitempty"`
+	RolloutStep  *RolloutStep  `msgpack:"rt,omitempty"`
 }
 
 // Put replaces the document if its version is higher than the stored one.
@@ -37,8 +40,11 @@
 	Version uint64 `msgpack:"v"`
 	// Changed is set if the command changed the state.
 	Changed bool `msgpack:"c"`
-	// Overtaken is set if a ZoneChange was not made because its zone has had another order since.
+	// Overtaken is set if a ZoneChange or RolloutStart was not executed because its zone or service has had
+	// another order since.
 	Overtaken bool `msgpack:"o,omitempty"`
+	// Conflict is set if a RolloutStart was not executed because another roll-out is in progress.
+	Conflict bool `msgpack:"f,omitempty"`
 }
 
 // State is the replicated state. Out holds the availability zones that are out of service.
@@ -51,6 +57,8 @@
 	// ZoneOrders is the number of executed orders by availability zone, those included that changed
 	// nothing.
 	ZoneOrders map[string]uint64 `msgpack:"n"`
+	// Rollouts holds the latest roll-out of each service that has had one.
+	Rollouts map[string]Rollout `msgpack:"r,omitempty"`
 }
 
 // Machine implements replica.StateMachine.
@@ -66,7 +74,7 @@
 
 // Apply executes an encoded command and returns the encoded Reply, or nil if the command cannot be
 // decoded.
-func (m *Machine) Apply(_ uint64, _ time.Duration, cmd []byte) []byte {
+func (m *Machine) Apply(_ uint64, now time.Duration, cmd []byte) []byte {
 	var c Command
 	if err := msgpack.Unmarshal(cmd, &c); err != nil {
 		return nil
@@ -80,6 +88,10 @@
 		reply.Changed = true
 	case c.Zone != nil:
 		reply.Changed, reply.Overtaken = m.changeZone(c.Zone)
+	case c.RolloutStart != nil:
+		reply.Changed, reply.Conflict, reply.Overtaken = m.startRollout(now, c.RolloutStart)
+	case c.RolloutStep != nil:
+		reply.Changed = m.stepRollout(now, c.RolloutStep)
 	}
 	reply.Version = m.state.Version
 	out, err := msgpack.Marshal(reply)
