--- a/controller/rollouts.go
+++ b/controller/rollouts.go
@@ -129,6 +129,9 @@
 func (s *Server) fillRollouts(reply *fleet.PollReply) {
 	state := s.opts.Document.Get()
 	reply.RolloutsKnown = true
+	if len(state.Rollouts) == 0 {
+		return
+	}
 	now := s.opts.Node.LogTime(fleet.DocumentGroup)
 	for _, service := range slices.Sorted(maps.Keys(state.Rollouts)) {
 		r := state.Rollouts[service]
--- a/rollout/phase.go
+++ b/rollout/phase.go
@@ -73,7 +73,7 @@
 	maxTrialTenths = 8
 	// minChangeover is the time that is kept for emptying the old version. Streams of 2 s have to end,
 	// and gateways have to report that.
-	minChangeover = 2500 * time.Millisecond
+	minChangeover = 2700 * time.Millisecond
 	// movingTime bounds the phase Moving if a gateway does not report.
 	movingTime = 500 * time.Millisecond
 	// recordMargin is the time before the limit at which a roll-out that has not been completed is
--- a/rollout/share.go
+++ b/rollout/share.go
@@ -5,11 +5,11 @@
 const (
 	// openShareTenths is the part of the permitted share, in tenths, that the version on trial gets in
 	// any case.
-	openShareTenths = 8
+	openShareTenths = 9
 	// spentHeadroom is the part of the headroom that is used for evidence, and maxOpenShare bounds the
 	// share at services with few requests.
-	spentHeadroom = 0.6
-	maxOpenShare  = 0.25
+	spentHeadroom = 0.9
+	maxOpenShare  = 0.3
 	// reservedHeadroom is the part of the headroom that is never granted. It covers gateways that have
 	// restarted and requests that an earlier leader has granted and nobody has reported.
 	reservedHeadroom = 0.1
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -32,16 +32,22 @@
 	// badScore is the score at which a version is bad. With it, a version that is exactly as bad as p0 is
 	// rolled back with a probability below exp(badScore) for each test.
 	badScore = -6.0
-	// goodScore is the score for a good verdict over all routes, and goodRouteScore that for each route
-	// with at least minRoutePart of the service's requests. A rarer route must have a score above
-	// rareRouteScore.
-	goodScore      = 2.5
-	goodRouteScore = 1.2
-	minRoutePart   = 0.1
-	rareRouteScore = -1.0
-	// minTargets is the number of targets from which the worst one is left out if its own score is
-	// negative: a single failing target says nothing about the version.
-	minTargets = 3
+	// badScoreFewTargets applies while fewer than minTargets targets have had requests, so that a single
+	// failing target cannot be told apart.
+	badScoreFewTargets = -10.0
+	// goodScore is the score for a good verdict over all routes, and routeScore that which no single route
+	// may be below: with about 25 requests on a route, two failures at random are no verdict yet. Each
+	// route with at least minRoutePart of the service's requests needs minRouteRequests.
+	goodScore        = 2.5
+	routeScore       = -0.5
+	minRoutePart     = 0.1
+	minRouteRequests = 8
+	// minTargets is the number of targets from which the worst one is left out: a single failing target
+	// says nothing about the version. For a bad verdict it is left out if its own score is below
+	// suspectTarget, for a good one only if the score shows that the target fails.
+	minTargets    = 3
+	suspectTarget = 0.0
+	failingTarget = -3.5
 )
 
 // test is a pair of hypotheses: p0 is margin times the old version's rate and at least floor; p1 exceeds
@@ -53,9 +59,9 @@
 
 var (
 	// Failures: services fail about one request in a hundred on their own.
-	failureTest = test{name: "failures", floor: 0.02, margin: 1.5, step: 0.12}
+	failureTest = test{name: "failures", floor: 0.02, margin: 1.5, step: 0.15}
 	// Late requests: a new target has no prompts cached, so that some first turns are late.
-	lateTest = test{name: "late", floor: 0.08, margin: 1.5, step: 0.25}
+	lateTest = test{name: "late", floor: 0.1, margin: 1.5, step: 0.25}
 	// With the whole load, and without the old version in the same seconds, only a plain change counts.
 	loadedFailureTest = test{name: "failures with the whole load", floor: 0.1, margin: 2, step: 0.25}
 	loadedLateTest    = test{name: "late with the whole load", floor: 0.3, margin: 2, step: 0.4}
@@ -124,36 +130,56 @@
 	usable               bool // there was something to compare with
 }
 
-// judge applies an aspect to a route.
-func (a *aspect) judge(r *RouteCounts) result {
-	bucket := 0
-	if a.times != nil {
-		old := a.times(&r.Old)
-		if old.total() < minOldTimes {
-			return result{}
-		}
-		bucket = max(old.quantile(lateQuantile)+lateAbove, old.quantile(0.5)+lateFactor) + a.above
+// lateFrom returns the bucket from which times are late, and false if the old version has too few times.
+func (a *aspect) lateFrom(r *RouteCounts) (int, bool) {
+	if a.times == nil {
+		return 0, true
+	}
+	old := a.times(&r.Old)
+	if old.total() < minOldTimes {
+		return 0, false
 	}
-	res := result{usable: true}
-	res.badOld, res.nOld = a.count(&r.Old, bucket)
-	worst, targets := math.Inf(1), 0
-	var worstBad, worstN int
-	for _, c := range r.New {
-		bad, n := a.count(c, bucket)
-		if n == 0 {
+	return max(old.quantile(lateQuantile)+lateAbove, old.quantile(0.5)+lateFactor) + a.above, true
+}
+
+// judge applies an aspect to all routes. The target with the worst score over all routes is left out if
+// that score is below leaveOut. targets is the number of targets with requests.
+func (a *aspect) judge(e Evidence, leaveOut float64) (results map[string]result, targets int) {
+	results = map[string]result{}
+	scores := map[string]float64{}
+	for route, r := range e {
+		bucket, ok := a.lateFrom(r)
+		if !ok {
 			continue
 		}
-		res.bad, res.n = res.bad+bad, res.n+n
-		targets++
-		if s := a.score(bad, n, res.badOld, res.nOld); s < worst {
-			worst, worstBad, worstN = s, bad, n
+		res := result{usable: true}
+		res.badOld, res.nOld = a.count(&r.Old, bucket)
+		for target, c := range r.New {
+			bad, n := a.count(c, bucket)
+			if n == 0 {
+				continue
+			}
+			res.bad, res.n = res.bad+bad, res.n+n
+			scores[target] += a.score(bad, n, res.badOld, res.nOld)
 		}
+		results[route] = res
 	}
-	if targets >= minTargets && worst < 0 {
-		res.bad, res.n = res.bad-worstBad, res.n-worstN
+	worst, lowest := "", leaveOut
+	for target, s := range scores {
+		if s < lowest {
+			worst, lowest = target, s
+		}
+	}
+	for route, res := range results {
+		if c := e[route].New[worst]; c != nil && len(scores) >= minTargets {
+			bucket, _ := a.lateFrom(e[route])
+			bad, n := a.count(c, bucket)
+			res.bad, res.n = res.bad-bad, res.n-n
+		}
+		res.score = a.score(res.bad, res.n, res.badOld, res.nOld)
+		results[route] = res
 	}
-	res.score = a.score(res.bad, res.n, res.badOld, res.nOld)
-	return res
+	return results, len(scores)
 }
 
 // Judge judges a version on trial by the sums since it has begun to get requests and those of the last
@@ -165,9 +191,29 @@
 	if v := findBad(recent, trialAspects, "in the last seconds"); v.Kind == Bad {
 		return v
 	}
+	if v := findSuspect(recent); v.Reason != "" {
+		return v
+	}
 	return findGood(whole)
 }
 
+// findSuspect returns an open verdict with a reason if the last seconds alone speak against the version,
+// though not yet clearly: it may have turned bad just now.
+func findSuspect(recent Evidence) Verdict {
+	for i := range trialAspects {
+		a := &trialAspects[i]
+		sum, bad, n := 0.0, 0, 0
+		results, _ := a.judge(recent, failingTarget)
+		for _, res := range results {
+			sum, bad, n = sum+res.score, bad+res.bad, n+res.n
+		}
+		if sum < 0 {
+			return Verdict{Reason: fmt.Sprintf("%s in the last seconds: %d of %d requests, score %.1f", a.name, bad, n, sum)}
+		}
+	}
+	return Verdict{}
+}
+
 // JudgeLoaded judges a version that gets all requests, by its requests since then and those of the old
 // version before.
 func JudgeLoaded(e Evidence) Verdict { return findBad(e, loadedAspects, "with the whole load") }
@@ -176,15 +222,20 @@
 func findBad(e Evidence, as []aspect, when string) Verdict {
 	for i := range as {
 		sum := 0.0
-		for _, route := range slices.Sorted(maps.Keys(e)) {
-			res := as[i].judge(e[route])
-			if res.score <= badScore {
+		results, targets := as[i].judge(e, suspectTarget)
+		limit := badScore
+		if targets < minTargets {
+			limit = badScoreFewTargets
+		}
+		for _, route := range slices.Sorted(maps.Keys(results)) {
+			res := results[route]
+			if res.score <= limit {
 				return Verdict{Kind: Bad, Reason: fmt.Sprintf("%s on route %s %s: %d of %d requests, at the old version %d of %d",
 					as[i].name, route, when, res.bad, res.n, res.badOld, res.nOld)}
 			}
 			sum += res.score
 		}
-		if sum <= badScore {
+		if sum <= limit {
 			return Verdict{Kind: Bad, Reason: fmt.Sprintf("%s over all routes %s, score %.1f", as[i].name, when, sum)}
 		}
 	}
@@ -200,20 +251,17 @@
 	for i := range trialAspects {
 		a := &trialAspects[i]
 		sum, usable := 0.0, i == 0
+		results, _ := a.judge(e, failingTarget)
 		for _, route := range slices.Sorted(maps.Keys(e)) {
-			r := e[route]
-			res := a.judge(r)
+			r, res := e[route], results[route]
 			if !res.usable {
 				continue
 			}
 			usable = true
-			needed := goodRouteScore
-			if float64(r.Old.Requests) < minRoutePart*float64(all) {
-				needed = rareRouteScore
-			}
-			if res.score < needed {
+			rare := float64(r.Old.Requests) < minRoutePart*float64(all)
+			if res.score < routeScore || !rare && res.n < minRouteRequests {
 				return Verdict{Reason: fmt.Sprintf("%s on route %s: %d of %d requests, at the old version %d of %d, score %.1f of %.1f",
-					a.name, route, res.bad, res.n, res.badOld, res.nOld, res.score, needed)}
+					a.name, route, res.bad, res.n, res.badOld, res.nOld, res.score, routeScore)}
 			}
 			sum += res.score
 		}
