--- a/cmd/figlb-gateway/main.go
+++ b/cmd/figlb-gateway/main.go
@@ -44,6 +44,7 @@
 	g := gateway.New(gateway.Options{
 		Host: p.Host.Name, Zone: p.Host.Zone, Address: p.Host.InternalAddress, Adapter: platform.Adapter{},
 		Client: p.Client, Log: p.Log, Metrics: p.Metrics, DialTarget: upstream.DialThrough(*targetProxy),
+		HoldNewVersions: p.Host.RollsOut,
 	})
 	defer g.Close()
 	peers, err := wire.Listen(p.Host.Listen(p.Host.InternalAddress), nil, p.Log)
--- a/gateway/balance/choose.go
+++ b/gateway/balance/choose.go
@@ -74,14 +74,14 @@
 }
 
 // eligible returns the targets that may take the request. Ejected targets are returned only
-// if there are no others. The caller holds mu.
+// if there are no others, and those of a version that is held only if there are not even those. The caller holds mu.
 func (s *Set) eligible(now time.Duration, c *Criteria) (candidates []*Target, reason string) {
 	all := s.byService[c.Service]
 	if len(all) == 0 {
 		return nil, "the service has no targets"
 	}
 	perSecond := ratePerGateway(s.coldLimits[c.Service], s.gateways)
-	var ejected []*Target
+	var ejected, held []*Target
 	reason = "all targets are draining, excluded, out of service or of another version"
 	trial := s.trialTargets(now, c)
 	for _, t := range all {
@@ -96,6 +96,10 @@
 			reason = "all remaining targets are at the request limit that they name"
 			continue
 		}
+		if s.held(now, c, t) {
+			held = append(held, t)
+			continue
+		}
 		if t.ejectedUntil > now {
 			ejected = append(ejected, t)
 			continue
@@ -105,6 +109,9 @@
 	if len(candidates) == 0 {
 		candidates = ejected
 	}
+	if len(candidates) == 0 {
+		candidates = held
+	}
 	return candidates, reason
 }
 
--- a/gateway/balance/limit.go
+++ b/gateway/balance/limit.go
@@ -242,7 +242,7 @@
 	trial := s.trialTargets(now, c)
 	for _, t := range s.byService[c.Service] {
 		switch {
-		case !t.limit.active() || !s.admits(c, t) || trial != nil && !slices.Contains(trial, t):
+		case !t.limit.active() || !s.admits(c, t) || s.held(now, c, t) || trial != nil && !slices.Contains(trial, t):
 		case t.coldUntil > now && perSecond > 0 && !t.coldTokens.available(now, perSecond):
 		case t.ejectedUntil > now:
 			ejected = append(ejected, t)
--- a/gateway/balance/set.go
+++ b/gateway/balance/set.go
@@ -28,6 +28,10 @@
 	versions   map[string]*versionWatch // by service
 	inFlight   map[versionKey]int32     // requests of this gateway
 	rules      map[string]VersionRule   // by service
+	// newVersionHold is how long a version that appears beside others gets nothing; 0: no hold.
+	// versionSince holds when each listed version has appeared.
+	newVersionHold time.Duration
+	versionSince   map[versionKey]time.Duration
 }
 
 // NewSet returns an empty set for a gateway in the given availability zone.
@@ -42,6 +46,8 @@
 		demands:    map[string]*demand{},
 		versions:   map[string]*versionWatch{},
 		inFlight:   map[versionKey]int32{},
+
+		versionSince: map[versionKey]time.Duration{},
 	}
 }
 
--- a/gateway/balance/versions.go
+++ b/gateway/balance/versions.go
@@ -27,6 +27,7 @@
 			s.versions[service] = &versionWatch{version: version, mixed: mixed, since: now}
 		}
 	}
+	s.watchNewVersions(now)
 	for service := range s.versions {
 		if len(s.byService[service]) == 0 {
 			delete(s.versions, service)
@@ -135,3 +136,45 @@
 	defer s.mu.Unlock()
 	return t.coldUntil > now
 }
+
+// HoldNewVersions makes a version that appears beside other versions of its service get nothing for a
+// time, unless no other target is left: the order for its roll-out may not be known yet.
+func (s *Set) HoldNewVersions(hold time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.newVersionHold = hold
+}
+
+// watchNewVersions records when versions have appeared. The first ones of a service count as old. The
+// caller holds mu, and calls it before versions of services without targets are removed.
+func (s *Set) watchNewVersions(now time.Duration) {
+	since := make(map[versionKey]time.Duration, len(s.versionSince))
+	served := map[string]bool{}
+	for k := range s.versionSince {
+		served[k.service] = true
+	}
+	for service, targets := range s.byService {
+		for _, t := range targets {
+			k := versionKey{service, t.Version}
+			at, known := s.versionSince[k]
+			switch {
+			case known:
+				since[k] = at
+			case served[service]:
+				since[k] = now
+			default:
+				since[k] = now - s.newVersionHold
+			}
+		}
+	}
+	s.versionSince = since
+}
+
+// held reports whether a target's version has just appeared and the request does not ask for it. The
+// caller holds mu.
+func (s *Set) held(now time.Duration, c *Criteria, t *Target) bool {
+	if s.newVersionHold == 0 || c.Version != "" {
+		return false
+	}
+	return now-s.versionSince[versionKey{t.Service, t.Version}] < s.newVersionHold
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,8 +26,11 @@
 	DialTarget func(ctx context.Context, addr string) (net.Conn, error)
 	Adapter    Adapter
 	Client     *stateclient.Client
-	Log        logr.Logger
-	Metrics    metrics.Registry
+	// HoldNewVersions is set at sites with roll-outs: a software version that appears beside others gets
+	// nothing for versionHold unless an order for its roll-out is known.
+	HoldNewVersions bool
+	Log             logr.Logger
+	Metrics         metrics.Registry
 }
 
 // Gateway serves callers on one host.
@@ -71,6 +74,9 @@
 	g.config = &follower{g: g, startedAt: clock.Now(), ready: make(chan struct{})}
 	g.leaderContact = &leaderContact{g: g}
 	g.rollouts.g = g
+	if opts.HoldNewVersions {
+		g.targets.HoldNewVersions(versionHold)
+	}
 	g.links = g.newLinks()
 	g.admissions = newAdmission(g)
 	g.settler = newSettler(g)
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -24,6 +24,12 @@
 	// exposurePause is the time after a refused or lost grant in which none is requested. Each request for
 	// one delays a caller's request.
 	exposurePause = 100 * time.Millisecond
+	// versionHold is longer than the 5 s within which an order is acknowledged and the time in which
+	// gateways learn of it.
+	versionHold = 8 * time.Second
+	// loadedGroups is the number of groups by which the targets of a version that gets all requests are
+	// reported. A report by target would make polls of some KB at sites with many targets.
+	loadedGroups = 4
 	// maxOutcomeKeys limits the routes and targets for which outcomes are kept in one roll-out.
 	maxOutcomeKeys = 256
 )
@@ -198,6 +204,9 @@
 	key := outcomeKey{route: route}
 	if target.Version == t.To {
 		key.target = target.ID
+		if t.Phase != rollout.Open {
+			key.target = "group " + strconv.FormatUint(xxhash.Sum64String(target.ID)%loadedGroups, 10)
+		}
 	}
 	c := t.outcomes[key]
 	if c == nil && len(t.outcomes) < maxOutcomeKeys {
--- a/settings/host.go
+++ b/settings/host.go
@@ -37,6 +37,8 @@
 	StopGracePeriod time.Duration
 	// Exposure bounds what a bad software version may get during a roll-out.
 	Exposure rollout.Bounds
+	// RollsOut is set if the platform states such bounds: versions of targets change by roll-outs.
+	RollsOut bool
 	// BindIP is the IP address to listen on in place of the host's own, for hosts behind
 	// forwarded ports; if empty, the process listens on the address at which others reach
 	// it.
