--- a/command/command_test.go
+++ b/command/command_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -79,6 +81,18 @@
 	return len(p), nil
 }
 
+// rolloutState implements command.Rollouts with the last order.
+type rolloutState struct{ to, reason string }
+
+func (r *rolloutState) Start(_ context.Context, _, to string, duration time.Duration) error {
+	r.to, r.reason = to, fmt.Sprintf("%v at %s", duration, r.reason)
+	return nil
+}
+
+func (r *rolloutState) State(context.Context, string) (state, to, reason string, err error) {
+	return "in_progress", r.to, r.reason, nil
+}
+
 var _ = Describe("figlbctl", func() {
 	var (
 		api            *fakeAPI
@@ -87,7 +101,8 @@
 	run := func(args ...string) int {
 		stdout, stderr = new(bytes.Buffer), new(bytes.Buffer)
 		env := &command.Env{Stdout: stdout, Stderr: stderr,
-			Connect: func(*command.CommonFlags) (command.API, error) { return api, nil }}
+			Connect:         func(*command.CommonFlags) (command.API, error) { return api, nil },
+			ConnectRollouts: func(address string) command.Rollouts { return &rolloutState{reason: address} }}
 		return command.Run(env, args)
 	}
 	declaration := []string{"-base", "../examples/base.ini", "-overlay", "../examples/neng.ini", "-state", "127.0.0.1:1"}
@@ -202,6 +217,16 @@
 		Expect(out.writes).To(Equal(1))
 	})
 
+	// Guards against a roll-out that is started without its version or at no controller.
+	It("starts a roll-out at a controller and shows its state", func() {
+		Expect(run("rollout", "start", "search", "-to", "v2")).To(Equal(command.ExitUsage))
+		Expect(run("rollout", "start", "search", "-api", "a:1")).To(Equal(command.ExitUsage))
+		Expect(run("rollout", "start", "search", "-api", "a:1", "-to", "v2", "-duration", "12s")).To(Equal(command.ExitOK))
+		Expect(stdout.String()).To(ContainSubstring("12s at a:1"))
+		Expect(run("rollout", "status", "search", "-api", "a:1", "-output", "json")).To(Equal(command.ExitOK))
+		Expect(stdout.String()).To(ContainSubstring("in_progress"))
+	})
+
 	It("resolves a call only to a valid state", func() {
 		Expect(run("call", "resolve", "-state", "x", "acme", "k", "maybe")).To(Equal(command.ExitUsage))
 		Expect(api.resolved).To(BeEmpty())
--- a/controller/rollouts_test.go
+++ b/controller/rollouts_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -9,8 +10,10 @@
 	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
+	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/fleet"
 	"github.com/figlb/figlb/rollout"
+	"github.com/figlb/figlb/routing"
 	"github.com/figlb/figlb/statemachine/documentsm"
 )
 
@@ -116,3 +119,38 @@
 		})
 	}
 }
+
+// Guards against orders that are acknowledged while a host of an older build could send a version any
+// number of requests, or lose the state as the next leader; and against orders that wait for hosts that
+// are gone.
+func TestOrdersNeedHostsThatKnowRollouts(t *testing.T) {
+	for _, c := range []struct {
+		desc    string
+		gateway uint64 // its features
+		member  func(address string) (uint64, error)
+		code    errs.Code // "": accepted
+	}{
+		{"all know them", fleet.FeatureRollouts, func(string) (uint64, error) { return fleet.KnownFeatures(), nil }, ""},
+		{"an older gateway", fleet.FeatureBodies, func(string) (uint64, error) { return fleet.KnownFeatures(), nil }, errs.Unavailable},
+		{"older members", fleet.FeatureRollouts, func(string) (uint64, error) { return 0, errs.New(errs.NotFound, "", "unknown method") }, errs.Unavailable},
+		{"members that know other features", fleet.FeatureRollouts, func(string) (uint64, error) { return fleet.FeatureBodies, nil }, errs.Unavailable},
+		{"lost members", fleet.FeatureRollouts, func(string) (uint64, error) { return 0, context.DeadlineExceeded }, ""},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := NewWithT(t)
+			table := &routing.Table{Version: 1, Services: []routing.Service{{Name: "s"}}}
+			g.Expect(table.Build()).To(Succeed())
+			s := New(Options{Node: leadingNode{}, Document: documentsm.New(), Lister: fixedLister(2), Log: logr.Discard(),
+				Decode:         func([]byte) (*routing.Table, error) { return table, nil },
+				MemberFeatures: func(_ context.Context, address string) (uint64, error) { return c.member(address) }})
+			s.hosts.recordPoll(1, &fleet.PollRequest{Host: "g", Kind: fleet.KindGateway, Features: c.gateway})
+			s.hosts.termStart -= time.Minute
+			err := s.checkRollout(context.Background(), &documentsm.State{Version: 1}, &fleet.RolloutRequest{Service: "s", To: "v2"})
+			if c.code == "" {
+				g.Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			g.Expect(errs.Is(err, c.code)).To(BeTrue(), "%v", err)
+		})
+	}
+}
