rollout, gateway: times of cold targets, and the old version as a fallback until the new one takes all

Cause: targets that are cold for most of the trial gave no times, so that good versions lacked evidence; and a version whose targets are at their cold limit would have been the only one too early. Change: times of cold targets count if they speak for the version; cold targets are used beside the warm ones of the trial; moving lasts until 95 % of the requests reach the new version.

--- a/controller/evidence.go
+++ b/controller/evidence.go
@@ -48,6 +48,26 @@
 	// to get all; nil: not yet.
 	begin, moved rollout.Evidence
 	recent       []evidenceAt
+	// lately holds the sums of the last looks, the oldest first.
+	lately []sums
+}
+
+// sums are the numbers of requests to a service, and of those to its new version.
+type sums struct{ sent, exposed uint64 }
+
+// latelyLooks is the number of looks over which requests to the old version count as recent: gateways
+// report once in each interval.
+const latelyLooks = 3
+
+// hasMoved adds the present sums to those of the last looks and reports whether the new version has taken
+// nearly all requests since the oldest of them.
+func (k *rolloutTrack) hasMoved() bool {
+	k.lately = append(k.lately, sums{k.sent, k.exposed})
+	if len(k.lately) <= latelyLooks {
+		return false
+	}
+	k.lately = k.lately[1:]
+	return rollout.HasMoved(k.sent-k.lately[0].sent, k.exposed-k.lately[0].exposed)
 }
 
 // hostReport is the last report of a host.
@@ -182,6 +202,9 @@
 	k := t.track(service, r.Order)
 	p := rollout.Progress{Phase: r.Phase, Duration: r.Duration}
 	p.Verdict = k.judge(now, r)
+	if r.Phase == rollout.Moving {
+		p.Moved = k.hasMoved()
+	}
 	p.Applied, p.Empty = k.applied(now, t.termStart, r, names)
 	return p
 }
--- a/gateway/balance/versions.go
+++ b/gateway/balance/versions.go
@@ -111,7 +111,8 @@
 const minTrialTargets = 3
 
 // trialTargets returns the targets to which TrialPart restricts the choice, or nil. All gateways choose
-// the same ones, as far as they agree on which are usable. The caller holds mu.
+// the same ones, as far as they agree on which are usable. Cold targets are not counted, because they take
+// few requests. The caller holds mu.
 func (s *Set) trialTargets(now time.Duration, c *Criteria) []*Target {
 	if c.TrialPart <= 0 || c.Version == "" {
 		return nil
@@ -122,12 +123,17 @@
 			all = append(all, t)
 		}
 	}
-	n := max(int(math.Ceil(c.TrialPart*float64(len(all)))), minTrialTargets)
-	if n >= len(all) {
-		return nil
-	}
+	warm := max(int(math.Ceil(c.TrialPart*float64(len(all)))), minTrialTargets)
 	slices.SortFunc(all, func(a, b *Target) int { return cmp.Compare(a.hash, b.hash) })
-	return all[:n]
+	for i, t := range all {
+		if t.coldUntil <= now {
+			warm--
+		}
+		if warm == 0 {
+			return all[:i+1]
+		}
+	}
+	return nil
 }
 
 // IsCold reports whether a target is cold.
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -236,21 +236,29 @@
 // recordGood counts a completed request. pace is the mean time between the events of a stream; 0: not
 // measured.
 func (r *rollouts) recordGood(route string, t *balance.Target, pace time.Duration) {
+	cold := r.g.targets.IsCold(clock.Now(), t)
 	r.record(route, t, func(c *rollout.Counts) {
 		c.Requests++
-		if pace > 0 {
+		switch {
+		case pace <= 0:
+		case cold:
+			c.ColdPace.Add(pace)
+		default:
 			c.Pace.Add(pace)
 		}
 	})
 }
 
-// recordFirst counts the time to the first event of a stream, or to the complete response. The times of
-// cold targets are left out: they are slow whatever their version.
+// recordFirst counts the time to the first event of a stream, or to the complete response.
 func (r *rollouts) recordFirst(route string, t *balance.Target, took time.Duration) {
-	if r.g.targets.IsCold(clock.Now(), t) {
-		return
-	}
-	r.record(route, t, func(c *rollout.Counts) { c.First.Add(took) })
+	cold := r.g.targets.IsCold(clock.Now(), t)
+	r.record(route, t, func(c *rollout.Counts) {
+		if cold {
+			c.ColdFirst.Add(took)
+			return
+		}
+		c.First.Add(took)
+	})
 }
 
 // requestGrant asks the leader to permit one request to the version on trial.
--- a/rollout/counts.go
+++ b/rollout/counts.go
@@ -89,6 +89,9 @@
 	// requests. Pace holds the mean times between the events of streams.
 	First Histogram `msgpack:"f,omitempty"`
 	Pace  Histogram `msgpack:"p,omitempty"`
+	// ColdFirst and ColdPace hold the times of cold targets.
+	ColdFirst Histogram `msgpack:"cf,omitempty"`
+	ColdPace  Histogram `msgpack:"cp,omitempty"`
 }
 
 // Merge adds the counts of o.
@@ -99,6 +102,8 @@
 	c.Bad = combine(c.Bad, o.Bad, sign)
 	c.First.merge(o.First, sign)
 	c.Pace.merge(o.Pace, sign)
+	c.ColdFirst.merge(o.ColdFirst, sign)
+	c.ColdPace.merge(o.ColdPace, sign)
 }
 
 // RouteCounts holds the counts of one route of a service.
--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -192,6 +192,7 @@
 			}
 			p.Verdict = JudgeLoaded(loaded)
 		}
+		p.Moved = p.InPhase >= 3*step
 		p.Applied = p.InPhase >= 2*step
 		p.Empty = p.InPhase >= 2*time.Second
 		if next, reason := Next(&p); next != out.phase {
--- a/rollout/phase.go
+++ b/rollout/phase.go
@@ -74,7 +74,7 @@
 	// minChangeover is the time that is kept for emptying the old version. Streams of 2 s have to end,
 	// and gateways have to report that.
 	minChangeover = 2700 * time.Millisecond
-	// movingTime bounds the phase Moving if a gateway does not report.
+	// movingTime bounds the wait in phase Moving for a gateway that does not report.
 	movingTime = 500 * time.Millisecond
 	// recordMargin is the time before the limit at which a roll-out that has not been completed is
 	// rolled back, so that the end is recorded in time.
@@ -87,6 +87,14 @@
 	return max(latest, duration*minTrialTenths/10+duration/10)
 }
 
+// movedPart is the part of the requests that the new version has to take before the old one gets none: new
+// targets may be cold and at their limit.
+const movedPart = 0.95
+
+// HasMoved reports whether the new version has taken nearly all requests, of which it got exposed and its
+// service sent.
+func HasMoved(sent, exposed uint64) bool { return float64(exposed) >= movedPart*float64(sent) }
+
 // Progress is what the leader knows about a roll-out.
 type Progress struct {
 	Phase    Phase
@@ -97,6 +105,9 @@
 	// Applied is set if all gateways in contact apply the phase, and Empty if moreover none has a request
 	// in flight at the old version, and no other gateway can send one there.
 	Applied, Empty bool
+	// Moved is set if the new version has lately taken nearly all requests, so that it needs the old one
+	// no more.
+	Moved bool
 }
 
 // Next returns the phase that follows, with the reason, or the present one.
@@ -116,7 +127,7 @@
 			return RolledBack, "too little evidence: " + p.Verdict.Reason
 		}
 	case Moving:
-		if p.Applied || p.InPhase >= movingTime {
+		if p.Moved && (p.Applied || p.InPhase >= movingTime) || p.Elapsed >= trialEnd(p.Duration) && p.InPhase >= movingTime {
 			return Final, ""
 		}
 	case Final:
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -94,27 +94,34 @@
 // aspect is one way in which requests may be bad.
 type aspect struct {
 	test
-	count func(c *Counts, bucket int) (bad, n int)
-	times func(c *Counts) Histogram // nil: no times
-	above int
+	// times returns the times of warm and of cold targets; nil: the aspect is failures.
+	times func(c *Counts) (warm, cold Histogram)
+	above int // buckets
 }
 
-func failures(c *Counts, _ int) (bad, n int) { return int(c.Bad), int(max(c.Requests, c.Bad)) }
-
-func timesOf(f func(*Counts) Histogram) func(*Counts, int) (bad, n int) {
-	return func(c *Counts, bucket int) (bad, n int) { return f(c).from(bucket), f(c).total() }
+// count returns the number of bad requests and of all. Late requests are those from bucket on.
+func (a *aspect) count(c *Counts, bucket int, withCold bool) (bad, n int) {
+	if a.times == nil {
+		return int(c.Bad), int(max(c.Requests, c.Bad))
+	}
+	warm, cold := a.times(c)
+	bad, n = warm.from(bucket), warm.total()
+	if withCold {
+		bad, n = bad+cold.from(bucket), n+cold.total()
+	}
+	return bad, n
 }
 
-func first(c *Counts) Histogram { return c.First }
-func pace(c *Counts) Histogram  { return c.Pace }
+func first(c *Counts) (warm, cold Histogram) { return c.First, c.ColdFirst }
+func pace(c *Counts) (warm, cold Histogram)  { return c.Pace, c.ColdPace }
 
 func aspects(failure, late test, above int) []aspect {
 	slowFirst, slowPace := late, late
 	slowFirst.name, slowPace.name = late.name+" (first event)", late.name+" (pace of events)"
 	return []aspect{
-		{test: failure, count: failures},
-		{test: slowFirst, count: timesOf(first), times: first, above: above},
-		{test: slowPace, count: timesOf(pace), times: pace, above: above},
+		{test: failure},
+		{test: slowFirst, times: first, above: above},
+		{test: slowPace, times: pace, above: above},
 	}
 }
 
@@ -135,13 +142,27 @@
 	if a.times == nil {
 		return 0, true
 	}
-	old := a.times(&r.Old)
+	old, _ := a.times(&r.Old)
 	if old.total() < minOldTimes {
 		return 0, false
 	}
 	return max(old.quantile(lateQuantile)+lateAbove, old.quantile(0.5)+lateFactor) + a.above, true
 }
 
+// coldCounts reports whether the times of cold targets count: only if they speak for the version. A cold
+// target may be slow whatever its version, and it may be cold for most of the trial.
+func (a *aspect) coldCounts(r *RouteCounts, bucket int, old *result) bool {
+	if a.times == nil {
+		return false
+	}
+	late, n := 0, 0
+	for _, c := range r.New {
+		_, cold := a.times(c)
+		late, n = late+cold.from(bucket), n+cold.total()
+	}
+	return a.score(late, n, old.badOld, old.nOld) > 0
+}
+
 // judge applies an aspect to all routes. The target with the worst score over all routes is left out if
 // that score is below leaveOut. targets is the number of targets with requests.
 func (a *aspect) judge(e Evidence, leaveOut float64) (results map[string]result, targets int) {
@@ -153,9 +174,10 @@
 			continue
 		}
 		res := result{usable: true}
-		res.badOld, res.nOld = a.count(&r.Old, bucket)
+		res.badOld, res.nOld = a.count(&r.Old, bucket, false)
+		withCold := a.coldCounts(r, bucket, &res)
 		for target, c := range r.New {
-			bad, n := a.count(c, bucket)
+			bad, n := a.count(c, bucket, withCold)
 			if n == 0 {
 				continue
 			}
@@ -173,7 +195,7 @@
 	for route, res := range results {
 		if c := e[route].New[worst]; c != nil && len(scores) >= minTargets {
 			bucket, _ := a.lateFrom(e[route])
-			bad, n := a.count(c, bucket)
+			bad, n := a.count(c, bucket, a.coldCounts(e[route], bucket, &res))
 			res.bad, res.n = res.bad-bad, res.n-n
 		}
 		res.score = a.score(res.bad, res.n, res.badOld, res.nOld)
