--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -271,8 +271,8 @@
 				exposedSum += r.exposed
 				ended += r.endedAt
 			}
-			t.Logf("%d wrong of %d, %d overexposed, %d late; mean exposure %d, mean end after %d ms",
-				wrong, seeds, overexposed, late, exposedSum/seeds, (ended / seeds).Milliseconds())
+			t.Logf("%s: %d wrong of %d, %d overexposed, %d late; mean exposure %d, mean end after %d ms",
+				s.name, wrong, seeds, overexposed, late, exposedSum/seeds, (ended / seeds).Milliseconds())
 			g.Expect(wrong).To(BeNumerically("<=", seeds/50))
 			if s.newFail == nil {
 				return // only the whole load shows the defect, so that the exposure cannot be kept
