--- a/controller/bodies.go
+++ b/controller/bodies.go
@@ -53,7 +53,7 @@
 
 // features answers which features this member understands.
 func (s *Server) features() *fleet.FeaturesReply {
-	return &fleet.FeaturesReply{Features: fleet.FeatureBodies}
+	return &fleet.FeaturesReply{Features: fleet.KnownFeatures()}
 }
 
 // askFeatures asks all members for their features if this member leads the document group. The last answer
--- a/controller/poll.go
+++ b/controller/poll.go
@@ -21,6 +21,7 @@
 	s.hosts.recordPoll(term, req)
 	s.limits.report(clock.Now(), term, req.Limits)
 	s.stores.record(clock.Now(), term, req)
+	s.rollouts.record(clock.Now(), term, req)
 	state := s.opts.Document.Get()
 	s.hosts.updateBlocked(&state)
 	reply := &fleet.PollReply{Version: state.Version, ZoneRevision: state.ZoneRevision, CrashesNotRecorded: !crashesRecorded}
@@ -48,6 +49,9 @@
 	if reply.Targets, err = s.targetList.changeSince(term, req.Targets); err != nil {
 		return err
 	}
+	// Roll-outs are read after the list of targets: a target of a new version that is listed was started
+	// after the order was acknowledged.
+	s.fillRollouts(reply)
 	listDigest := req.Targets
 	if reply.Targets != nil {
 		listDigest = reply.Targets.Digest
--- a/controller/server.go
+++ b/controller/server.go
@@ -12,6 +12,7 @@
 	"github.com/figlb/figlb/fleet"
 	"github.com/figlb/figlb/internal/clock"
 	"github.com/figlb/figlb/replica"
+	"github.com/figlb/figlb/rollout"
 	"github.com/figlb/figlb/routing"
 	"github.com/figlb/figlb/statemachine/documentsm"
 	"github.com/figlb/figlb/statemachine/ledgersm"
@@ -50,7 +51,9 @@
 	Copies int
 	// Peers asks the other members which features they understand.
 	Peers Peers
-	Log   logr.Logger
+	// Exposure bounds what a bad software version may get during a roll-out; zero values mean the defaults.
+	Exposure rollout.Bounds
+	Log      logr.Logger
 }
 
 // Server is the service of one controller, which is a member of the replicated groups.
@@ -63,6 +66,7 @@
 	targetList targetList
 	stores     storeTable
 	bodies     bodyStorage
+	rollouts   rolloutTable
 	// ledgerFull is set while new programs that keep turns are refused.
 	ledgerFull atomic.Bool
 }
@@ -72,6 +76,7 @@
 func New(opts Options) *Server {
 	s := &Server{opts: opts, log: opts.Log}
 	s.hosts.log, s.hosts.outcomes.log, s.limits.log, s.stores.log = opts.Log, opts.Log, opts.Log, opts.Log
+	s.rollouts.log, s.rollouts.bounds = opts.Log, opts.Exposure.WithDefaults()
 	return s
 }
 
@@ -93,6 +98,9 @@
 	fleet.Handle(w, fleet.MethodKnownBodies, s.knownBodies)
 	fleet.Handle(w, fleet.MethodFeatures, func(context.Context, *struct{}) (*fleet.FeaturesReply, error) { return s.features(), nil })
 	fleet.Handle(w, fleet.MethodRetire, s.retire)
+	fleet.Handle(w, fleet.MethodRollout, s.startRollout)
+	fleet.Handle(w, fleet.MethodRolloutState, s.rolloutState)
+	fleet.Handle(w, fleet.MethodExposure, s.exposure)
 }
 
 // contact confirms to a host that it reaches the leader. Other members return NotLeader.
--- a/gateway/balance/set.go
+++ b/gateway/balance/set.go
@@ -31,6 +31,12 @@
 	// candidates and ejected are the results of the last call of eligible, kept for their memory: a
 	// choice among 2,800 targets would allocate 72 KB.
 	candidates, ejected []*Target
+	inFlight            map[versionKey]int32   // requests of this gateway
+	rules               map[string]VersionRule // by service
+	// newVersionHold is how long a version that appears beside others gets nothing; 0: no hold.
+	// versionSince holds when each listed version has appeared.
+	newVersionHold time.Duration
+	versionSince   map[versionKey]time.Duration
 }
 
 // NewSet returns an empty set for a gateway in the given availability zone.
@@ -45,6 +51,9 @@
 		demands:    map[string]*demand{},
 		versions:   map[string]*versionWatch{},
 		uneven:     map[string]*unevenService{},
+		inFlight:   map[versionKey]int32{},
+
+		versionSince: map[versionKey]time.Duration{},
 	}
 }
 
@@ -276,7 +285,7 @@
 	defer s.mu.Unlock()
 	var targets []*Target
 	for _, t := range s.byService[service] {
-		if s.usable(t) && t.ejectedUntil <= now {
+		if s.usable(t) && t.ejectedUntil <= now && s.rules[service].admits(t.Version) {
 			targets = append(targets, t)
 		}
 	}
@@ -314,6 +323,10 @@
 	if p != nil {
 		t.tokens -= p.total()
 	}
+	key := versionKey{t.Service, t.Version}
+	if s.inFlight[key]--; s.inFlight[key] == 0 {
+		delete(s.inFlight, key)
+	}
 }
 
 // Outcome is what a request revealed about its target.
--- a/gateway/bodies.go
+++ b/gateway/bodies.go
@@ -34,9 +34,9 @@
 // features returns the features that this gateway understands.
 func (g *Gateway) features() uint64 {
 	if g.bodies == nil {
-		return 0
+		return fleet.KnownFeatures() &^ fleet.FeatureBodies
 	}
-	return fleet.FeatureBodies
+	return fleet.KnownFeatures()
 }
 
 // loadHistory sets the history of a turn from the reply to its reservation. It reads the bodies that are
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,10 +27,13 @@
 	DialTarget func(ctx context.Context, addr string) (net.Conn, error)
 	Adapter    Adapter
 	// Bodies calls store hosts, which keep bodies of turns; nil: all turns are kept in the ledger.
-	Bodies  bodies.Client
-	Client  *stateclient.Client
-	Log     logr.Logger
-	Metrics metrics.Registry
+	Bodies bodies.Client
+	Client *stateclient.Client
+	// HoldNewVersions is set at sites with roll-outs: a software version that appears beside others gets
+	// nothing for versionHold unless an order for its roll-out is known.
+	HoldNewVersions bool
+	Log             logr.Logger
+	Metrics         metrics.Registry
 }
 
 // Gateway serves callers on one host.
@@ -53,6 +56,7 @@
 	bodies        *bodies.Storage  // nil if Options.Bodies is not set
 	// bodiesToStores is set while bodies of turns go to store hosts.
 	bodiesToStores atomic.Bool
+	rollouts       rollouts
 
 	poolMu sync.Mutex
 	pools  map[string]*upstream.Pool // by target
@@ -78,6 +82,10 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.config = &follower{g: g, startedAt: clock.Now(), ready: make(chan struct{})}
 	g.leaderContact = &leaderContact{g: g}
+	g.rollouts.g = g
+	if opts.HoldNewVersions {
+		g.targets.HoldNewVersions(versionHold)
+	}
 	g.links = g.newLinks()
 	g.admissions = newAdmission(g)
 	g.settler = newSettler(g)
--- a/statemachine/documentsm/machine.go
+++ b/statemachine/documentsm/machine.go
@@ -19,6 +19,9 @@
 	// Retire and Bodies are sent only once all members have reported that they understand them.
 	Retire *Retirement   `msgpack:"rt,omitempty"`
 	Bodies *BodiesChange `msgpack:"bo,omitempty"`
+	// RolloutStart and RolloutStep are proposed only while all members know roll-outs.
+	RolloutStart *RolloutStart `msgpack:"rs,omitempty"`
+	RolloutStep  *RolloutStep  `msgpack:"rp,omitempty"`
 }
 
 // Put replaces the document if its version is higher than the stored one.
@@ -42,8 +45,11 @@
 	Version uint64 `msgpack:"v"`
 	// Changed is set if the command changed the state.
 	Changed bool `msgpack:"c"`
-	// Overtaken is set if a ZoneChange was not made because its zone has had another order since.
+	// Overtaken is set if a ZoneChange or RolloutStart was not executed because its zone or service has had
+	// another order since.
 	Overtaken bool `msgpack:"o,omitempty"`
+	// Conflict is set if a RolloutStart was not executed because another roll-out is in progress.
+	Conflict bool `msgpack:"f,omitempty"`
 }
 
 // State is the replicated state. Out holds the availability zones that are out of service.
@@ -66,6 +72,8 @@
 	Retired map[string]Retirement `msgpack:"rt,omitempty"`
 	// Bodies is the state of the storage of turns on store hosts.
 	Bodies BodiesState `msgpack:"bo,omitempty"`
+	// Rollouts holds the latest roll-out of each service that has had one.
+	Rollouts map[string]Rollout `msgpack:"r,omitempty"`
 }
 
 // Machine implements replica.StateMachine.
@@ -101,6 +109,10 @@
 		reply.Changed = m.retire(c.Retire)
 	case c.Bodies != nil:
 		reply.Changed = m.changeBodies(c.Bodies)
+	case c.RolloutStart != nil:
+		reply.Changed, reply.Conflict, reply.Overtaken = m.startRollout(logTime, c.RolloutStart)
+	case c.RolloutStep != nil:
+		reply.Changed = m.stepRollout(logTime, c.RolloutStep)
 	}
 	reply.Version = m.state.Version
 	out, err := msgpack.Marshal(reply)
