balance: few moves among uneven targets

Cause: after a change of targets, a failure of a second or a crowded moment, programs and keyed calls of uneven services moved without need, and nothing told how often and why.

Change: weighted rendezvous hashing by size and usual pace in steps of 1.25, a bounded memory of where a key is served, and moves counted by reason with a bounded log line (gateway.moves.*).

--- a/gateway/balance/choose.go
+++ b/gateway/balance/choose.go
@@ -18,6 +18,8 @@
 	// Affinity is the affinity key. Requests with the same key run faster on the same target,
 	// which has their prompt cached. Empty means no affinity.
 	Affinity string
+	// SingleUse is set if no other request has the affinity key, so that it need not be remembered.
+	SingleUse bool
 	// Exclude lists the ids of targets that have already refused or failed this request.
 	Exclude []string
 	// NonRepeatable marks a request that must not be sent again after a failure, so that a failing
@@ -34,19 +36,26 @@
 // Acquire chooses a target and counts the request as in flight there until Release. It returns
 // nil and the reason if no target of the service may take the request.
 func (s *Set) Acquire(now time.Duration, c *Criteria) (*Target, string) {
+	t, reason, move := s.chooseAndAcquire(now, c)
+	if move != nil && s.onMove != nil {
+		s.onMove(move)
+	}
+	return t, reason
+}
+
+func (s *Set) chooseAndAcquire(now time.Duration, c *Criteria) (t *Target, reason string, move *Move) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	candidates, reason := s.eligible(now, c)
 	if len(candidates) == 0 {
-		return nil, reason
+		return nil, reason, nil
 	}
-	t := s.choose(now, c, candidates)
+	t = s.choose(now, c, candidates)
 	if t.limit.active() {
 		t.limit.share.take()
 	}
 	s.acquire(now, t)
-	s.recordPlacement(now, c, t)
-	return t, ""
+	return t, "", s.recordPlacement(now, c, t)
 }
 
 // choose returns the best of the candidates, of which there is at least one. The caller holds mu.
@@ -197,12 +206,20 @@
 // highest weight comes first.
 func (t *Target) rank(key uint64) uint64 {
 	x := mix(key ^ t.hash)
-	if t.limit.active() && t.limit.weight < 1 {
-		return weighted(x, t.limit.weight)
+	if w := t.rankWeight(); w < 1 {
+		return weighted(x, w)
 	}
 	return x
 }
 
+// rankWeight returns the weight of the target in rendezvous hashing.
+func (t *Target) rankWeight() float64 {
+	if t.limit.active() {
+		return t.weight * t.limit.weight
+	}
+	return t.weight
+}
+
 // firstTwo returns the two targets that rank highest for a key. If there is only one target,
 // it is returned twice.
 func firstTwo(key uint64, targets []*Target) (first, second *Target) {
--- a/gateway/balance/demand.go
+++ b/gateway/balance/demand.go
@@ -42,6 +42,7 @@
 func (s *Set) UpdateLimitWeights(now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.polledAt = now
 	for service, d := range s.demands {
 		d.update(now)
 		s.setLimitWeights(service, d.perSecond*float64(s.gateways))
--- a/gateway/balance/limit.go
+++ b/gateway/balance/limit.go
@@ -287,15 +287,22 @@
 // AcquirePermitted counts a request as in flight at a target for which the leader has granted a
 // permit. It returns nil if the target is not listed any more.
 func (s *Set) AcquirePermitted(now time.Duration, id string, c *Criteria) *Target {
+	t, move := s.acquirePermitted(now, id, c)
+	if move != nil && s.onMove != nil {
+		s.onMove(move)
+	}
+	return t
+}
+
+func (s *Set) acquirePermitted(now time.Duration, id string, c *Criteria) (*Target, *Move) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.byID[id]
 	if t == nil || !s.usable(t) {
-		return nil
+		return nil, nil
 	}
 	s.acquire(now, t)
-	s.recordPlacement(now, c, t)
-	return t
+	return t, s.recordPlacement(now, c, t)
 }
 
 // PermitDenied records how long the leader has no permits for the candidates of a request.
--- a/gateway/balance/pace.go
+++ b/gateway/balance/pace.go
@@ -28,8 +28,16 @@
 	last   float64
 	mean   float64 // as of at
 	at     time.Duration
+	// level is the mean in steps of a factor of paceLevelFactor. It changes when the mean is well
+	// beyond the middle between two steps, so that chance does not change it.
+	level int
 }
 
+const (
+	paceLevelFactor = 1.25
+	paceLevelMargin = 0.75 // in steps
+)
+
 // record records a reported pace in per cent. A pace outside 1 to MaxPacePercent is ignored and
 // record returns false.
 func (p *pace) record(now time.Duration, percent int) bool {
@@ -40,6 +48,9 @@
 	mean := p.usual(now)
 	mean += paceMeanWeight * (current - mean)
 	p.stated, p.last, p.mean, p.at = true, current, mean, now
+	if steps := math.Log(mean) / math.Log(paceLevelFactor); math.Abs(steps-float64(p.level)) > paceLevelMargin {
+		p.level = int(math.Round(steps))
+	}
 	return true
 }
 
--- a/gateway/balance/set.go
+++ b/gateway/balance/set.go
@@ -28,6 +28,8 @@
 	versions   map[string]*versionWatch // by service
 	uneven     map[string]*unevenService
 	placements placements
+	onMove     func(*Move)   // called after each move; nil: not reported
+	polledAt   time.Duration // of the last call of UpdateLimitWeights, which follows each poll
 	// candidates and ejected are the results of the last call of eligible, kept for their memory: a
 	// choice among 2,800 targets would allocate 72 KB.
 	candidates, ejected []*Target
@@ -48,6 +50,10 @@
 	}
 }
 
+// OnMove sets a function that is called after each request of an uneven service that did not go to the
+// target which served its affinity key before. It must be set before the first request.
+func (s *Set) OnMove(f func(*Move)) { s.onMove = f }
+
 // Update replaces the list of targets and returns the targets that were removed or replaced.
 func (s *Set) Update(now time.Duration, list []fleet.Target) (removed []*Target) {
 	s.mu.Lock()
@@ -95,7 +101,7 @@
 		t = nil
 	}
 	if t == nil {
-		t = &Target{hash: xxhash.Sum64String(f.ID), listedAt: now}
+		t = &Target{hash: xxhash.Sum64String(f.ID), listedAt: now, weight: 1}
 		s.byID[f.ID] = t
 	}
 	t.Target = f
@@ -341,8 +347,10 @@
 	if o.Load >= 0 {
 		t.reportedLoad, t.reportedAt = int32(o.Load), now
 	}
-	if t.pace.record(now, o.PacePercent) && !t.removed {
-		s.unevenOf(t.Service)
+	if level := t.pace.level; t.pace.record(now, o.PacePercent) && !t.removed {
+		if s.unevenOf(t.Service); t.pace.level != level {
+			s.setRankWeights(t.Service)
+		}
 	}
 	if o.ColdFor > 0 {
 		t.setCold(now, now+o.ColdFor)
--- a/gateway/balance/target.go
+++ b/gateway/balance/target.go
@@ -46,7 +46,10 @@
 // the fields.
 type Target struct {
 	fleet.Target
-	hash      uint64 // of the id
+	hash uint64 // of the id
+	// weight is the weight in rendezvous hashing among targets of different sizes and speeds, above 0
+	// and at most 1.
+	weight    float64
 	coldUntil time.Duration
 	leaving   bool // the target has announced that it is about to stop
 	listedAt  time.Duration
--- a/gateway/balance/uneven.go
+++ b/gateway/balance/uneven.go
@@ -32,18 +32,23 @@
 	return u
 }
 
-// detectUneven adapts the set of uneven services to a changed list of targets. The caller holds mu.
+// detectUneven adapts the set of uneven services to a changed list of targets. Targets of unknown size
+// count as equal to the others. The caller holds mu.
 func (s *Set) detectUneven() {
 	for service, targets := range s.byService {
-		uneven := false
+		uneven, size := false, 0
 		for _, t := range targets {
-			uneven = uneven || t.pace.stated || t.Slots != targets[0].Slots
+			if size == 0 {
+				size = t.Slots
+			}
+			uneven = uneven || t.pace.stated || t.Slots > 0 && t.Slots != size
 		}
 		if uneven {
 			s.unevenOf(service)
 		} else {
 			delete(s.uneven, service)
 		}
+		s.setRankWeights(service)
 	}
 	for service := range s.uneven {
 		if len(s.byService[service]) == 0 {
@@ -52,25 +57,52 @@
 	}
 }
 
-// recordPlacement records where a request was sent. The caller holds mu.
-func (s *Set) recordPlacement(now time.Duration, c *Criteria, t *Target) {
+// setRankWeights sets the weights of the targets of a service in rendezvous hashing: by size and usual
+// pace in an uneven service, otherwise 1. The sizes are the same at all gateways, and the paces are
+// rounded, so that gateways rarely differ in the order of the targets. The caller holds mu.
+func (s *Set) setRankWeights(service string) {
+	targets := s.byService[service]
+	if s.uneven[service] == nil {
+		for _, t := range targets {
+			t.weight = 1
+		}
+		return
+	}
+	highest := 0.0
+	for _, t := range targets {
+		t.weight = t.slots() / math.Pow(paceLevelFactor, float64(t.pace.level))
+		highest = max(highest, t.weight)
+	}
+	for _, t := range targets {
+		t.weight = max(t.weight/highest, minRankWeight)
+	}
+}
+
+// minRankWeight is the lowest weight in rendezvous hashing, relative to the highest.
+const minRankWeight = 1.0 / 256
+
+// recordPlacement records where a request was sent and returns the move, or nil if it was none. The
+// caller holds mu.
+func (s *Set) recordPlacement(now time.Duration, c *Criteria, t *Target) (m *Move) {
 	if c.Prompt != nil {
 		t.tokens += c.Prompt.total()
 	}
 	u := s.uneven[c.Service]
 	if u == nil {
-		return
+		return nil
 	}
-	if c.Affinity != "" {
-		s.placements.set(now, placementKey(c), t)
+	if c.Affinity != "" && !c.SingleUse {
+		tc := s.newTurnCost(now, u, c)
+		m = s.place(&tc, c, t)
 	}
 	if c.Prompt == nil {
-		return
+		return m
 	}
 	if hash, tokens := c.Prompt.shared(); tokens > 0 {
 		t.prefixes.add(now, hash)
 		u.prefixes.add(hash)
 	}
+	return m
 }
 
 // placementKey returns the key of a request's placement.
@@ -204,8 +236,13 @@
 	n       int
 }
 
-// insert adds a target if its rank is high enough.
-func (l *topTargets) insert(t *Target, rank uint64) {
+// insert adds a target if its rank for a key is high enough.
+func (l *topTargets) insert(t *Target, key uint64) {
+	// A weight only lowers the rank. It takes longer to compute than the rank without it.
+	if l.n == topRanked && mix(key^t.hash) <= l.ranks[l.n-1] {
+		return
+	}
+	rank := t.rank(key)
 	if l.n == topRanked && rank <= l.ranks[l.n-1] {
 		return
 	}
@@ -233,19 +270,13 @@
 // only a few targets for the reason given at byAffinity.
 func (s *Set) byHistory(tc *turnCost, c *Criteria, candidates []*Target) *Target {
 	key := xxhash.Sum64String(c.Affinity)
-	last := s.placements.get(tc.now, placementKey(c))
+	last := s.placements.get(tc.now, placementKey(c)).target
 	var top topTargets
-	var holder *Target
-	var holderRank uint64
 	for _, t := range candidates {
 		if t == last {
 			tc.home = t
 		}
-		r := t.rank(key)
-		top.insert(t, r)
-		if tc.shared > 0 && r >= holderRank && t.prefixes.has(tc.now, tc.prefix) {
-			holder, holderRank = t, r
-		}
+		top.insert(t, key)
 	}
 	if tc.home == nil {
 		tc.home = top.targets[0]
@@ -256,8 +287,10 @@
 			best, bestCost = t, cost
 		}
 	}
-	if holder != nil && tc.holdsPrefix(tc.home) < 0.5 {
-		consider(holder)
+	if tc.holdsPrefix(tc.home) < 0.5 {
+		if t := tc.prefixHolder(key, candidates); t != nil {
+			consider(t)
+		}
 	}
 	for i, t := range top.targets[:top.n] {
 		if i > 0 && i%affinityGroupSize == 0 && !tc.crowded(best) {
@@ -270,6 +303,17 @@
 	return best
 }
 
+// prefixHolder returns the target of highest rank to which this gateway has sent the shared prefix, or
+// nil.
+func (tc *turnCost) prefixHolder(key uint64, candidates []*Target) (holder *Target) {
+	for _, t := range candidates {
+		if t.prefixes.has(tc.now, tc.prefix) && (holder == nil || t.rank(key) > holder.rank(key)) {
+			holder = t
+		}
+	}
+	return holder
+}
+
 // crowded reports whether a request would queue at a target, or take as long as if it did.
 func (tc *turnCost) crowded(t *Target) bool {
 	return tc.occupancy(t)+tc.penalties(t) >= crowdedCost*t.pace.usual(tc.now)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -77,6 +77,7 @@
 	c := balance.Criteria{Service: x.service(), Connected: x.g.hasIdleConn, NonRepeatable: !x.route.Repeatable()}
 	if x.route.Sticky || x.route.Kind == routing.Streaming {
 		c.Affinity = x.affinity()
+		c.SingleUse = c.Affinity == x.req.ID
 	}
 	if x.route.Kind == routing.Streaming && (x.req.PromptTokens > 0 || len(x.req.PromptParts) > 0) {
 		c.Prompt = &balance.Prompt{Parts: x.req.PromptParts, Tokens: x.req.PromptTokens, MaxOutput: int(min(max(x.req.MaxTokens, 0), math.MaxInt32))}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,7 @@
 		targets: balance.NewSet(opts.Zone),
 		pools:   map[string]*upstream.Pool{},
 	}
+	g.reportMoves()
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.config = &follower{g: g, startedAt: clock.Now(), ready: make(chan struct{})}
 	g.leaderContact = &leaderContact{g: g}
