--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,6 +79,7 @@
 	if opts.Bodies != nil {
 		g.bodies = bodies.New(opts.Bodies, clock.Now)
 	}
+	g.reportMoves()
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.config = &follower{g: g, startedAt: clock.Now(), ready: make(chan struct{})}
 	g.leaderContact = &leaderContact{g: g}
