balance: the gain for a move is lower where all slots may be taken

Change: the lower gain applies from a load whose standard deviation reaches the slots, in place of 0.8 of them.

--- a/gateway/balance/uneven.go
+++ b/gateway/balance/uneven.go
@@ -227,9 +227,6 @@
 	// uneven_test.go 0.3 adds moves
 	// without a gain, and 0.5 lets queues form at eight times the usual load.
 	moveMargin = 0.4
-	// nearlyFull is the share of occupied slots from which affinityBonus replaces moveMargin: the counts of
-	// other gateways may be too low, and a queue costs more than a move.
-	nearlyFull = 0.8
 )
 
 // topTargets holds the targets of highest rank, in descending order.
@@ -317,9 +314,12 @@
 	return holder
 }
 
-// margin returns the gain that a request must have to leave the target that holds its history.
+// margin returns the gain that a request must have to leave the target that holds its history. It is lower
+// where all slots may be taken: the counts of other gateways are old, and the true load may be higher by its
+// standard deviation, which is the square root of the load for requests that arrive at random. A queue costs
+// more than a move.
 func (tc *turnCost) margin(t *Target) float64 {
-	if t.load(tc.now) >= nearlyFull*t.slots() {
+	if load := t.load(tc.now); load+math.Sqrt(load) >= t.slots() {
 		return affinityBonus
 	}
 	return moveMargin
