--- a/settings/settings.go
+++ b/settings/settings.go
@@ -53,6 +53,10 @@
 	// tokens is about half a megabyte of text, and larger as JSON.
 	MaxBodyBytes int64         `ini:"max_body_bytes,min=1024"`
 	BodyTimeout  time.Duration `ini:"body_timeout,min=100ms"`
+	// MemoryMB and MaxFDs are the memory and the file descriptors that the process may use; 0: not
+	// stated.
+	MemoryMB int `ini:"memory_mb,min=0"`
+	MaxFDs   int `ini:"max_fds,min=0"`
 }
 
 // State configures figlb-state.
