clientlimit: bounds for clients in gateway, controller, entry and the internal protocol

Cause: bodies were allocated as declared, buffers of chunked bodies, frames and fields of heads had no common bound, and neither connections nor the time of a body or of reading a response were bounded. Change: all servers accept through a listener that bounds connections (at the bound the one worth least is closed: no request yet, stalled body, unread response, idle), lines of a head, and the time without reading; bodies are bounded in time, pace and memory as they arrive, and released on every path. Frames of the internal protocol grow with what arrives. Requests without a route or key have their body dropped within 0.5 s and the body limit. limits.max-fds and [client-limits] are read; each bound has a counter and one log line a second.

--- a/cmd/figlb-controller/main.go
+++ b/cmd/figlb-controller/main.go
@@ -62,6 +62,7 @@
 		return err
 	}
 	defer w.Close()
+	w.SetBounds(p.Limits.Internal())
 	doc, ledger := documentsm.New(), ledgersm.New()
 	r, err := startReplica(p, w, doc, ledger)
 	if err != nil {
@@ -83,8 +84,8 @@
 	go refreshMembers(p.StopContext, p, r)
 	api, err := httpserver.Start(httpserver.Options{
 		Name: "figlb-controller", Addr: p.Host.Listen(p.Host.ControlAddress),
-		Handler:       platform.OperatorHandler(&operator.Operations{Client: p.Client}, operatorTimeout),
-		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: platform.OperatorHandler(&operator.Operations{Client: p.Client}, operatorTimeout),
+		Bounds:  p.Limits.Front("operators", headerTimeout, idleTimeout, maxHeaderBytes),
 	})
 	if err != nil {
 		return err
--- a/cmd/figlb-entry/main.go
+++ b/cmd/figlb-entry/main.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/figlb/figlb/entry"
+	"github.com/figlb/figlb/internal/clientlimit"
+	"github.com/figlb/figlb/internal/process"
 	"github.com/figlb/figlb/settings"
 	"github.com/figlb/figlb/structs"
 	"github.com/figlb/figlb/telemetry"
@@ -36,6 +39,9 @@
 	if err != nil {
 		return err
 	}
+	if f.Entry.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(f.Entry.MemoryMB) << 20 * process.MemoryLimitPercent / 100)
+	}
 	log := telemetry.NewLogger(f.Log.Level, "figlb-entry", f.Entry.ID)
 	defer telemetry.StartTracing(f.Trace, "figlb-entry")()
 	stop := make(chan os.Signal, 1)
@@ -48,11 +54,12 @@
 	}
 	defer closeState()
 	registry := metrics.NewRegistry()
+	limits := clientlimit.New(f.Entry.ClientLimits(), log, registry)
 	e := entry.New(entry.Options{
 		Settings: f.Entry, TLS: f.TLS, Incarnation: incarnation,
-		State: state, Scheduler: sched, Log: log, Metrics: registry,
+		State: state, Scheduler: sched, Log: log, Metrics: registry, Limits: limits,
 	})
-	admin, err := telemetry.StartAdmin(f.Entry.Admin, registry, e.Ready)
+	admin, err := telemetry.StartAdmin(f.Entry.Admin, registry, e.Ready, limits.Admin("admin"))
 	if err != nil {
 		return err
 	}
--- a/cmd/figlb-gateway/main.go
+++ b/cmd/figlb-gateway/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/figlb/figlb/gateway"
 	"github.com/figlb/figlb/gateway/upstream"
+	"github.com/figlb/figlb/internal/clientlimit"
 	"github.com/figlb/figlb/internal/httpserver"
 	"github.com/figlb/figlb/internal/process"
 	"github.com/figlb/figlb/platform"
@@ -43,7 +44,7 @@
 func run(p *process.Process) error {
 	g := gateway.New(gateway.Options{
 		Host: p.Host.Name, Zone: p.Host.Zone, Address: p.Host.InternalAddress, Adapter: platform.Adapter{},
-		Client: p.Client, Log: p.Log, Metrics: p.Metrics, DialTarget: upstream.DialThrough(*targetProxy),
+		Memory: p.Limits.Account, RelayBytes: p.Limits.RelayBytes(), Client: p.Client, Log: p.Log, Metrics: p.Metrics, DialTarget: upstream.DialThrough(*targetProxy),
 	})
 	defer g.Close()
 	peers, err := wire.Listen(p.Host.Listen(p.Host.InternalAddress), nil, p.Log)
@@ -51,9 +52,10 @@
 		return err
 	}
 	defer peers.Close()
+	peers.SetBounds(p.Limits.Internal())
 	g.Register(peers)
 	go peers.Serve() // ends with Close
-	closeReadiness, err := serveReadiness(p.Host.Listen(p.Host.ReadinessAddress), g)
+	closeReadiness, err := serveReadiness(p.Host.Listen(p.Host.ReadinessAddress), g, p.Limits.Admin("readiness"))
 	if err != nil {
 		return err
 	}
@@ -65,7 +67,7 @@
 	defer admin.Close()
 	front, err := httpserver.Start(httpserver.Options{
 		Name: "figlb-gateway", Addr: p.Host.Listen(p.Host.FrontendAddress), Handler: g,
-		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Bounds: p.Limits.Front("callers", headerTimeout, idleTimeout, maxHeaderBytes),
 	})
 	if err != nil {
 		return err
@@ -81,15 +83,16 @@
 
 // serveReadiness serves the readiness checks of the platform's load balancer. The returned
 // function closes the listener.
-func serveReadiness(addr string, g *gateway.Gateway) (func(), error) {
+func serveReadiness(addr string, g *gateway.Gateway, bounds *clientlimit.Options) (func(), error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", addr)
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.ReadinessPath, telemetry.ReadyHandler(g.Ready))
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = srv.Serve(ln) }() // ends with Close
+	srv := &http.Server{Handler: mux}
+	bounds.Apply(srv)
+	go func() { _ = srv.Serve(clientlimit.NewListener(ln, bounds)) }() // ends with Close
 	return func() { _ = srv.Close() }, nil
 }
 
--- a/cmd/figlb-state/run.go
+++ b/cmd/figlb-state/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/figlb/figlb/dispatch"
 	"github.com/figlb/figlb/dispatch/topology"
+	"github.com/figlb/figlb/internal/clientlimit"
 	"github.com/figlb/figlb/pki"
 	"github.com/figlb/figlb/replica"
 	"github.com/figlb/figlb/settings"
@@ -71,7 +72,8 @@
 		LiveEntries:  sched.liveEntries,
 	})
 	srv.Register(w)
-	admin, err := telemetry.StartAdmin(st.Admin, metrics.DefaultRegistry, func() error { return ready(n) })
+	admin, err := telemetry.StartAdmin(st.Admin, metrics.DefaultRegistry, func() error { return ready(n) },
+		clientlimit.New(settings.ClientLimits{}.WithDefaults(0, 0, false), log, metrics.DefaultRegistry).Admin("admin"))
 	if err != nil {
 		return err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/figlb/figlb/engine"
 	"github.com/figlb/figlb/entry/middleware/auth"
 	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/internal/clientlimit"
 	"github.com/figlb/figlb/settings"
 	"github.com/figlb/figlb/structs"
 )
@@ -65,6 +66,7 @@
 	Log         logr.Logger
 	Metrics     metrics.Registry
 	Timing      Timing
+	Limits      *clientlimit.Limits // of callers; nil: those of Settings
 }
 
 // Entry serves the requests of callers.
@@ -96,6 +98,9 @@
 
 // New returns an entry that has not been started.
 func New(opts Options) *Entry {
+	if opts.Limits == nil {
+		opts.Limits = clientlimit.New(opts.Settings.ClientLimits(), opts.Log, opts.Metrics)
+	}
 	e := &Entry{
 		opts:        opts,
 		timing:      opts.Timing.withDefaults(),
--- a/entry/middleware/bodylimit/bodylimit.go
+++ b/entry/middleware/bodylimit/bodylimit.go
@@ -1,17 +1,18 @@
 package bodylimit
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/figlb/figlb/admission/memory"
 	"github.com/figlb/figlb/entry/reply"
 	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/internal/clientlimit"
+	"github.com/figlb/figlb/internal/clock"
 )
 
 type contextKey struct{}
@@ -51,18 +52,22 @@
 	if err := rc.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, errs.From(err)
 	}
-	var buf bytes.Buffer
-	_, err := io.Copy(&buf, io.LimitReader(r.Body, maxBytes+1))
+	clientlimit.Limit(r, clock.Now()+timeout, memory.Fresh)
+	size := maxBytes + 1
+	if r.ContentLength > 0 {
+		size = r.ContentLength
+	}
+	body, err := clientlimit.ReadBody(r.Body, size)
 	if err != nil {
 		return nil, readError(err, timeout)
 	}
-	if int64(buf.Len()) > maxBytes {
+	if int64(len(body)) > maxBytes {
 		return nil, tooLarge(maxBytes)
 	}
 	if err := rc.SetReadDeadline(time.Time{}); err != nil {
 		return nil, errs.From(err)
 	}
-	return buf.Bytes(), nil
+	return body, nil
 }
 
 func tooLarge(maxBytes int64) *errs.Error {
@@ -70,6 +75,10 @@
 }
 
 func readError(err error, timeout time.Duration) *errs.Error {
+	var e *errs.Error
+	if errors.As(err, &e) {
+		return e
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return errs.New(errs.BodyTimeout, "send the body faster", "the body did not arrive within %s", timeout)
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -108,13 +108,14 @@
 	listening := make(chan string, 1)
 	option := func(h *http.Server) {
 		s.http = h
-		h.ReadHeaderTimeout = readHeaderTimeout
-		h.IdleTimeout = idleTimeout
-		h.MaxHeaderBytes = maxHeaderBytes
 		h.ErrorLog = stdlog.New(io.Discard, "", 0) // log lines of net/http may quote requests
-		h.BaseContext = func(l net.Listener) context.Context {
-			listening <- l.Addr().String()
-			return context.Background()
+		// go-zero has no hook for the listener. The server therefore serves the bounded one here; once it is
+		// closed, go-zero's own attempt to listen ends at once with http.ErrServerClosed.
+		o := s.entry.opts.Limits.Front("callers", readHeaderTimeout, idleTimeout, maxHeaderBytes)
+		tlsFiles := s.entry.opts.TLS
+		err := o.Serve(h, h.Addr, tlsFiles.CallerCert, tlsFiles.CallerKey, func(l net.Listener) { listening <- l.Addr().String() })
+		if !errors.Is(err, http.ErrServerClosed) {
+			panic(err) // passed on by the function below
 		}
 	}
 	go func() {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -66,6 +65,7 @@
 	}
 	err := x.run()
 	if err != nil {
+		x.discardBody()
 		x.writeError(err)
 	}
 	x.log(err)
@@ -161,47 +161,6 @@
 // timeLeft returns the time until the gateway has to give up.
 func (x *exchange) timeLeft() time.Duration { return x.deadline - timeoutMargin - clock.Now() }
 
-// readBody reads the whole body within the configured limit.
-func (x *exchange) readBody() error {
-	if x.r.ContentLength == 0 {
-		return nil
-	}
-	limit := x.table.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		return bodyTooLargeError(limit)
-	}
-	if x.r.ContentLength > 0 {
-		x.body = make([]byte, x.r.ContentLength)
-		if _, err := io.ReadFull(x.r.Body, x.body); err != nil {
-			return bodyReadError(err)
-		}
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
-	if err != nil {
-		return bodyReadError(err)
-	}
-	if int64(len(body)) > limit {
-		return bodyTooLargeError(limit)
-	}
-	x.body = body
-	return nil
-}
-
-// defaultMaxBodyBytes bounds request bodies if the configuration sets no limit.
-const defaultMaxBodyBytes = 4 << 20
-
-func bodyTooLargeError(limit int64) error {
-	return errs.New(errs.BodyTooLarge, "send a smaller body", "the body is larger than %d bytes", limit)
-}
-
-func bodyReadError(err error) error {
-	return errs.New(errs.BadRequest, "send the whole body", "the request body could not be read: %v", err)
-}
-
 // priority returns the organisation's priority if it has one, otherwise the route's.
 func (x *exchange) priority() int {
 	if x.owner != nil && x.owner.Priority != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 	metrics "github.com/rcrowley/go-metrics"
 
+	"github.com/figlb/figlb/admission/memory"
 	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/gateway/balance"
 	"github.com/figlb/figlb/gateway/upstream"
@@ -28,6 +29,9 @@
 	Client     *stateclient.Client
 	Log        logr.Logger
 	Metrics    metrics.Registry
+	// Memory accounts for what is kept of responses, at most RelayBytes each; nil: nothing is kept.
+	Memory     *memory.Account
+	RelayBytes int64
 }
 
 // Gateway serves callers on one host.
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -20,6 +20,8 @@
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/httpx"
 	"github.com/zeromicro/go-zero/rest/router"
+
+	"github.com/figlb/figlb/internal/clientlimit"
 )
 
 // shutdownDelay is the delay after a signal before go-zero ends the process. It is far longer
@@ -28,12 +30,10 @@
 
 // Options configure a Server.
 type Options struct {
-	Name           string
-	Addr           string
-	Handler        http.Handler
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
-	MaxHeaderBytes int
+	Name    string
+	Addr    string
+	Handler http.Handler
+	Bounds  *clientlimit.Options // of the clients, with the timeouts and the size of heads
 }
 
 // Server is a running HTTP server.
@@ -75,13 +75,12 @@
 	listening := make(chan struct{}, 1)
 	configure := func(h *http.Server) {
 		s.http = h
-		h.ReadHeaderTimeout = opts.HeaderTimeout
-		h.IdleTimeout = opts.IdleTimeout
-		h.MaxHeaderBytes = opts.MaxHeaderBytes
 		h.ErrorLog = stdlog.New(io.Discard, "", 0) // net/http's log lines may contain parts of requests
-		h.BaseContext = func(net.Listener) context.Context {
-			listening <- struct{}{}
-			return context.Background()
+		// go-zero has no hook for the listener. The server therefore serves the bounded one here; once it is
+		// closed, go-zero's own attempt to listen ends at once with http.ErrServerClosed.
+		err := opts.Bounds.Serve(h, opts.Addr, "", "", func(net.Listener) { listening <- struct{}{} })
+		if !errors.Is(err, http.ErrServerClosed) {
+			panic(err) // passed on by the function below
 		}
 	}
 	go func() {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
 
+	"github.com/figlb/figlb/internal/clientlimit"
 	"github.com/figlb/figlb/internal/clock"
 	"github.com/figlb/figlb/settings"
 	"github.com/figlb/figlb/stateclient"
@@ -34,9 +35,11 @@
 	reloadInterval = 2 * time.Second
 	// stallThreshold is the delay of a tick above which the process is logged as stalled.
 	stallThreshold = 700 * time.Millisecond
-	// memoryLimitPercent is the Go runtime's soft memory limit as a percentage of the host's
+	// MemoryLimitPercent is the Go runtime's soft memory limit as a percentage of the host's
 	// memory. Near the limit the garbage collector runs more often.
-	memoryLimitPercent = 70
+	MemoryLimitPercent = 70
+	// controllerName is the name of the processes whose internal connections are the most.
+	controllerName = "figlb-controller"
 )
 
 // Process is the state that all processes of a site have in common.
@@ -45,6 +48,7 @@
 	Log     logr.Logger
 	Metrics metrics.Registry
 	Client  *stateclient.Client
+	Limits  *clientlimit.Limits // of clients that are not controlled
 	// StopContext is cancelled when SIGTERM or SIGINT asks the process to stop.
 	StopContext context.Context
 
@@ -82,10 +86,11 @@
 		return nil, err
 	}
 	if host.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(host.MemoryMB) << 20 * memoryLimitPercent / 100)
+		debug.SetMemoryLimit(int64(host.MemoryMB) << 20 * MemoryLimitPercent / 100)
 	}
 	p := &Process{Host: host, Metrics: metrics.NewRegistry(), load: load}
 	p.Log, p.flush = telemetry.NewStdoutLogger("info", name, host.Name, p.Metrics)
+	p.Limits = clientlimit.New(host.ClientLimits.WithDefaults(host.MemoryMB, host.MaxFDs, name == controllerName), p.Log, p.Metrics)
 	p.Client, err = stateclient.NewDiscovering(host.Seeds, 1, nil)
 	if err != nil {
 		return nil, err
@@ -152,7 +157,7 @@
 // StartAdmin starts the endpoint for health, readiness and metrics.
 func (p *Process) StartAdmin(ready func() error) (*telemetry.Admin, error) {
 	addr := p.Host.Listen(net.JoinHostPort(p.Host.IP, strconv.Itoa(MetricsPort)))
-	admin, err := telemetry.StartAdmin(addr, p.Metrics, ready)
+	admin, err := telemetry.StartAdmin(addr, p.Metrics, ready, p.Limits.Admin("metrics"))
 	return admin, errors.Wrap(err, "metrics endpoint")
 }
 
--- a/settings/host.go
+++ b/settings/host.go
@@ -26,6 +26,7 @@
 	ReadinessAddress string
 	ControlAddress   string
 	MemoryMB         int
+	MaxFDs           int // file descriptors; 0: not stated
 	DiskMB           int
 	// ToleratedLosses is the number of hosts with a disk whose simultaneous loss the site must
 	// tolerate.
@@ -39,6 +40,7 @@
 	BindIP string
 	// TargetsAddress is the address of the platform's API that lists the targets.
 	TargetsAddress string
+	ClientLimits   ClientLimits
 }
 
 // Listen returns the address to listen on for clients that connect to addr.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -57,6 +57,22 @@
 	// stated.
 	MemoryMB int `ini:"memory_mb,min=0"`
 	MaxFDs   int `ini:"max_fds,min=0"`
+	// The following are the values of ClientLimits for an entry; 0: the default.
+	ClientMemoryMB      int           `ini:"client_memory_mb,min=0"`
+	ClientConnections   int           `ini:"client_connections,min=0"`
+	ConnectionsBySource int           `ini:"client_connections_per_source,min=0"`
+	AdminConnections    int           `ini:"admin_connections,min=0"`
+	HeadLines           int           `ini:"head_lines,min=0"`
+	BodyStall           time.Duration `ini:"body_stall,min=0s"`
+	BodyPace            int64         `ini:"body_bytes_per_s,min=0"`
+	ReadStall           time.Duration `ini:"read_stall,min=0s"`
+}
+
+// ClientLimits returns the bounds for clients of the entry.
+func (e *Entry) ClientLimits() ClientLimits {
+	c := ClientLimits{MemoryMB: e.ClientMemoryMB, Connections: e.ClientConnections, ConnectionsPerSource: e.ConnectionsBySource,
+		AdminConnections: e.AdminConnections, HeadLines: e.HeadLines, BodyStall: e.BodyStall, BodyPace: e.BodyPace, ReadStall: e.ReadStall}
+	return c.WithDefaults(e.MemoryMB, e.MaxFDs, false)
 }
 
 // State configures figlb-state.
--- a/telemetry/admin.go
+++ b/telemetry/admin.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/figlb/figlb/internal/clientlimit"
 )
 
 const adminReadTimeout = 5 * time.Second
@@ -20,8 +22,8 @@
 }
 
 // StartAdmin starts the server on addr. ready returns nil while the process accepts
-// requests, and otherwise the reason why it does not.
-func StartAdmin(addr string, registry metrics.Registry, ready func() error) (*Admin, error) {
+// requests, and otherwise the reason why it does not. bounds are those of the server's clients.
+func StartAdmin(addr string, registry metrics.Registry, ready func() error, bounds *clientlimit.Options) (*Admin, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", addr)
@@ -34,7 +36,8 @@
 		_ = json.NewEncoder(w).Encode(registry.GetAll())
 	})
 	a := &Admin{ln: ln, srv: &http.Server{Handler: mux, ReadTimeout: adminReadTimeout}}
-	go func() { _ = a.srv.Serve(ln) }()
+	bounds.Apply(a.srv)
+	go func() { _ = a.srv.Serve(clientlimit.NewListener(ln, bounds)) }()
 	return a, nil
 }
 
--- a/wire/client.go
+++ b/wire/client.go
@@ -155,7 +155,7 @@
 func (cc *clientConn) readLoop() {
 	r := bufio.NewReaderSize(cc.conn, 64<<10)
 	for {
-		f, err := readFrame(r)
+		f, err := readFrame(r, nil)
 		if err != nil {
 			cc.fail(ErrConnLost)
 			return
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -45,9 +45,12 @@
 	return err
 }
 
-// readFrame reads one frame. It checks the length prefix against maxFrameBytes before it
-// allocates the frame.
-func readFrame(r io.Reader) (*frame, error) {
+// growth is called before further memory is used for a frame in arrival; nil: no bound.
+type growth func(n int) error
+
+// readFrame reads one frame. It checks the length prefix against maxFrameBytes, and allocates memory as
+// the frame arrives.
+func readFrame(r io.Reader, grow growth) (*frame, error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, err
@@ -56,8 +59,8 @@
 	if n > maxFrameBytes {
 		return nil, errors.Errorf("peer sent a frame of %d bytes, which exceeds the limit of %d bytes", n, maxFrameBytes)
 	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
+	body, err := readGrowing(r, int(n), grow)
+	if err != nil {
 		return nil, err
 	}
 	f := new(frame)
@@ -66,3 +69,32 @@
 	}
 	return f, nil
 }
+
+// firstFrameBytes is the size up to which a frame is allocated at once and not accounted.
+const firstFrameBytes = 16 << 10
+
+// readGrowing reads n bytes into memory that doubles as they arrive.
+func readGrowing(r io.Reader, n int, grow growth) ([]byte, error) {
+	body := make([]byte, min(n, firstFrameBytes))
+	for have := 0; ; {
+		if len(body) > firstFrameBytes || n > firstFrameBytes {
+			if err := growBy(grow, len(body)-have); err != nil {
+				return nil, err
+			}
+		}
+		if _, err := io.ReadFull(r, body[have:]); err != nil {
+			return nil, err
+		}
+		if have = len(body); have == n {
+			return body, nil
+		}
+		body = append(make([]byte, 0, min(n, 2*have)), body...)[:min(n, 2*have)]
+	}
+}
+
+func growBy(grow growth, n int) error {
+	if grow == nil {
+		return nil
+	}
+	return grow(n)
+}
--- a/wire/server.go
+++ b/wire/server.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -16,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/internal/clock"
 )
 
 // writeTimeout limits the write of one frame. A connection whose peer has stopped reading is
@@ -24,6 +26,9 @@
 
 const handshakeTimeout = 5 * time.Second
 
+// readBufferBytes is the read buffer of a connection. Longer frames are read past it.
+const readBufferBytes = 8 << 10
+
 // Handler handles one call. body is the request encoded with msgpack; the returned reply is
 // encoded with msgpack as well. An *errs.Error is passed to the caller unchanged.
 type Handler func(ctx context.Context, body []byte) (any, error)
@@ -40,7 +45,8 @@
 	streams    map[string]StreamHandler
 	authorizer Authorizer
 	mu         sync.Mutex // guards conns and closed
-	conns      map[net.Conn]struct{}
+	conns      map[net.Conn]*serverConn
+	bounds     Bounds
 	closed     bool
 	wg         sync.WaitGroup // open connections
 }
@@ -60,7 +66,7 @@
 		handlers: map[string]Handler{},
 		oneWay:   map[string]func([]byte){},
 		streams:  map[string]StreamHandler{},
-		conns:    map[net.Conn]struct{}{},
+		conns:    map[net.Conn]*serverConn{},
 	}, nil
 }
 
@@ -84,25 +90,33 @@
 	for {
 		conn, err := s.ln.Accept()
 		if err != nil {
+			if s.retryAccept(err) {
+				continue
+			}
 			return
 		}
-		if !s.trackConn(conn) {
+		sc := &serverConn{srv: s, conn: conn, accepted: clock.Now(), cancels: map[uint64]context.CancelFunc{}}
+		if !s.makeRoom() {
+			_ = conn.Close()
+			continue
+		}
+		if !s.trackConn(conn, sc) {
 			_ = conn.Close()
 			return
 		}
-		go s.serveConn(conn)
+		go s.serveConn(conn, sc)
 	}
 }
 
 // trackConn registers a connection so that Close ends it. It returns false if the server is
 // closed.
-func (s *Server) trackConn(conn net.Conn) bool {
+func (s *Server) trackConn(conn net.Conn, sc *serverConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		return false
 	}
-	s.conns[conn] = struct{}{}
+	s.conns[conn] = sc
 	s.wg.Add(1)
 	return true
 }
@@ -137,21 +151,23 @@
 	writeMu sync.Mutex                    // serialises writes to conn
 	mu      sync.Mutex                    // guards cancels
 	cancels map[uint64]context.CancelFunc // of running calls, by call ID
+
+	accepted time.Duration // clock time
+	known    atomic.Bool   // the peer has sent a complete frame
 }
 
 // serveConn reads the frames of a connection until it fails or the server is closed.
-func (s *Server) serveConn(conn net.Conn) {
+func (s *Server) serveConn(conn net.Conn, sc *serverConn) {
 	defer s.untrackConn(conn)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	sc := &serverConn{srv: s, conn: conn, cancels: map[uint64]context.CancelFunc{}}
 	if err := sc.handshake(ctx); err != nil {
 		s.log.V(1).Info("TLS handshake failed", "peer", conn.RemoteAddr().String(), "error", err.Error())
 		return
 	}
-	r := bufio.NewReaderSize(conn, 64<<10)
+	r := bufio.NewReaderSize(conn, readBufferBytes)
 	for {
-		f, err := readFrame(r)
+		f, err := sc.readFrame(r)
 		if err != nil {
 			return
 		}
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -77,7 +77,7 @@
 	if err := writeFrame(conn, req); err != nil {
 		return errors.Wrap(ErrConnLost, err.Error())
 	}
-	reply, err := readFrame(conn)
+	reply, err := readFrame(conn, nil)
 	if err != nil {
 		return errors.Wrap(ErrConnLost, err.Error())
 	}
