gateway: store and forward for callers that read slowly; bodies are read into pieces that are used again

Cause: a target waited for its caller to read, and whole responses of up to 256 KB were held for callers without a common bound. Bodies over 32 KB are read into pieces of a pool.

--- a/admission/memory/account.go
+++ b/admission/memory/account.go
@@ -166,6 +166,25 @@
 	return h.bytes * max((now-h.began).Microseconds(), 1) * weights[h.class]
 }
 
+// Shrink releases n of the holder's bytes.
+func (h *Holder) Shrink(n int64) {
+	if h == nil {
+		return
+	}
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n = min(n, h.bytes)
+	h.bytes -= n
+	switch {
+	case h.closed:
+	case h.evicted:
+		a.pending -= n
+	default:
+		a.used -= n
+	}
+}
+
 // Settle ends the time in which the holder can be evicted: what it holds has arrived and may run.
 // It returns false if the holder has been evicted before.
 func (h *Holder) Settle() bool {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -40,9 +39,10 @@
 		return x.writeLongResponse(t, resp, body)
 	}
 	resp.Finish(true)
+	if err := x.writeWhole(resp.Response, body); err != nil {
+		return sendResult{responded: true, err: err}
+	}
 	x.status = resp.StatusCode
-	x.writeHeader(resp.Response, strconv.Itoa(len(body)))
-	_, _ = x.w.Write(body) // the HTTP server notices a caller that has left
 	return sendResult{responded: true}
 }
 
@@ -56,10 +56,9 @@
 	}
 	x.note = noteStarted
 	x.writeHeader(resp.Response, length)
-	copied, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(head), resp.Body))
-	resp.Finish(err == nil)
+	copied, err := x.copyLong(resp, head)
 	if err != nil {
-		x.observe(t, &balance.Outcome{Failed: x.r.Context().Err() == nil, Load: -1})
+		x.observe(t, &balance.Outcome{Failed: x.r.Context().Err() == nil && !isCallerError(err), Load: -1})
 		e := errs.New(errs.TargetFailed, "send the request again if it may be repeated",
 			"the response of target %s ended early after %d bytes: %v", t.ID, copied, x.abortCause(x.r.Context(), err)).WithRun(errs.Ran)
 		return sendResult{responded: true, err: e}
@@ -104,8 +103,11 @@
 		return sendResult{err: err}
 	}
 	rec := &eventRecorder{keepData: x.route.KeepsHistory}
-	err := x.copyEvents(resp, rec, t, sent)
-	resp.Finish(err == nil)
+	err := x.copyEvents(resp, rec, func() {
+		x.note = noteStarted
+		x.observe(t, &balance.Outcome{OK: true, Slowness: x.slowness(sent), Load: -1})
+		x.writeHeader(resp.Response, "")
+	})
 	x.recordEventInterval(rec)
 	if err == nil {
 		x.g.turns.record(x.route.Name, clock.Now()-sent)
@@ -119,43 +121,6 @@
 	return x.finishStream(ctx, rec)
 }
 
-// copyEvents copies a stream to the caller and flushes after each read. The header is sent with
-// the first bytes, so that a stream that breaks before them can still be turned into an error.
-func (x *exchange) copyEvents(resp *upstream.Response, rec *eventRecorder, t *balance.Target, sent time.Duration) error {
-	flush := http.NewResponseController(x.w)
-	buf := make([]byte, streamBufferBytes)
-	first := true
-	for {
-		n, err := resp.Body.Read(buf)
-		if n > 0 {
-			if first {
-				first = false
-				x.note = noteStarted
-				x.observe(t, &balance.Outcome{OK: true, Slowness: x.slowness(sent), Load: -1})
-				x.writeHeader(resp.Response, "")
-			}
-			if rerr := rec.add(buf[:n]); rerr != nil {
-				return rerr
-			}
-			if _, werr := x.w.Write(buf[:n]); werr != nil {
-				return werr
-			}
-			if ferr := flush.Flush(); ferr != nil {
-				return ferr
-			}
-		}
-		if err == io.EOF && first {
-			return io.ErrUnexpectedEOF
-		}
-		if err == io.EOF {
-			return rec.checkComplete()
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // finishStream settles a completed stream. A turn with history is recorded durably before the
 // caller sees the end of the stream, as it counts as done from then on.
 func (x *exchange) finishStream(ctx context.Context, rec *eventRecorder) sendResult {
@@ -184,7 +149,7 @@
 	if x.reserved {
 		x.settleAsync(&ledgersm.Settle{Tokens: x.tokensSent(rec)})
 	}
-	if ctx.Err() == nil && !x.g.links.CutOffSince(sent) {
+	if ctx.Err() == nil && !isCallerError(err) && !x.g.links.CutOffSince(sent) {
 		x.observe(t, &balance.Outcome{Failed: true, Load: -1})
 	}
 	e := errs.New(errs.TargetFailed, "resume or send the request again",
--- a/internal/clientlimit/body.go
+++ b/internal/clientlimit/body.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -161,8 +162,17 @@
 	}
 }
 
-// firstBodyBytes is the memory for a body before its first byte has arrived. Later it doubles.
-const firstBodyBytes = 4 << 10
+const (
+	// firstBodyBytes is the memory for a body before its first byte has arrived. It doubles up to smallBodyBytes.
+	firstBodyBytes = 4 << 10
+	// smallBodyBytes is the size from which the rest of a body is read into pieces of pieceBytes, which are used
+	// again. Buffers that grow would leave garbage of twice the size, also of bodies that are given up.
+	smallBodyBytes = 32 << 10
+	pieceBytes     = 64 << 10
+)
+
+// pieces are buffers of pieceBytes.
+var pieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
 
 // ReadBody reads a body of up to size bytes, which it returns also if there are fewer. Its memory grows with
 // what arrives: size only shows where to stop.
@@ -178,12 +188,58 @@
 			return out, err
 		}
 		if int64(len(out)) == size {
-			var end [1]byte
-			_, _ = r.Read(end[:]) // reaches the end of a body of this size, which shows that it has arrived
-			return out, nil
+			return out, readEnd(r)
+		}
+		if len(out) == cap(out) && len(out) >= smallBodyBytes {
+			return readPieces(r, out, size)
 		}
 		if len(out) == cap(out) {
 			out = append(make([]byte, 0, min(size, 2*int64(cap(out)))), out...)
 		}
 	}
 }
+
+// readEnd reads past the last byte of a body, which shows that it has arrived.
+func readEnd(r io.Reader) error {
+	var end [1]byte
+	if _, err := r.Read(end[:]); err != io.EOF {
+		return err
+	}
+	return nil
+}
+
+// readPieces reads the rest of a body that begins with head.
+func readPieces(r io.Reader, head []byte, size int64) ([]byte, error) {
+	var rest []*[pieceBytes]byte
+	defer func() {
+		for _, p := range rest {
+			pieces.Put(p)
+		}
+	}()
+	total, used := int64(len(head)), pieceBytes
+	for {
+		if used == pieceBytes {
+			rest, used = append(rest, pieces.Get().(*[pieceBytes]byte)), 0
+		}
+		room := min(int64(pieceBytes-used), size-total)
+		n, err := r.Read(rest[len(rest)-1][used : int64(used)+room])
+		used, total = used+n, total+int64(n)
+		if err == nil && total == size {
+			err = readEnd(r)
+			if err == nil {
+				err = io.EOF
+			}
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	out := append(make([]byte, 0, total), head...)
+	for _, p := range rest {
+		out = append(out, p[:min(pieceBytes, total-int64(len(out)))]...)
+	}
+	return out, nil
+}
--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	state    atomic.Int32 // http.ConnState
 	arriving atomic.Bool  // a body is due
 	writing  atomic.Int64 // clock time at which the running write began; 0: none
+	aborted  atomic.Bool  // writes fail
 	closed   sync.Once
 
 	// The following belong to the goroutine that reads heads.
@@ -193,7 +195,10 @@
 	for {
 		piece := b[written:min(len(b), written+writePiece)]
 		c.writing.Store(int64(clock.Now()))
-		_ = c.SetWriteDeadline(time.Now().Add(stall))
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(stall))
+		if c.aborted.Load() {
+			return written, os.ErrDeadlineExceeded
+		}
 		n, err := c.Conn.Write(piece)
 		c.writing.Store(0)
 		written += n
@@ -210,6 +215,14 @@
 	}
 }
 
+// SetWriteDeadline implements net.Conn. A time that has passed ends all further writes.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	if !t.IsZero() && t.Before(time.Now()) {
+		c.aborted.Store(true)
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
