soak: store hosts, and turns that are long enough for them

Cause: the soak ran no store hosts, and its turns never filled the ledger. Change: four store hosts with disks of 8 MB that are killed, frozen, wiped and cut off, one host with a disk at a time; turns of 16 KB; the report counts how often gateways were told to send bodies to store hosts; upgrades replace the stores last.

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -56,7 +56,7 @@
 			w.recordViolation("WRONG ORGANISATION: %s of %s ran for %q", id, a.org, run.Org)
 		}
 		if want := a.history + a.call.Body; run.Body != want {
-			w.recordViolation("WRONG REQUEST BODY: %s ran with %q instead of %q", id, run.Body, want)
+			w.recordViolation("WRONG REQUEST BODY: %s ran with %d bytes, %.200q..., instead of %d, %.200q...", id, len(run.Body), run.Body, len(want), want)
 		}
 	}
 	if r.Status == 200 && r.Complete && a.kind != "draft" {
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -148,6 +148,10 @@
 	{"partition a gateway from the other processes", func(s *site) func() { r := s.randomHost("gateway").relay; r.Cut(true); return func() { r.Cut(false) } }},
 	{"reset a controller's connections", func(s *site) func() { s.randomHost("controller").relay.Reset(); return nil }},
 	{"wipe a controller's disk", func(s *site) func() { return s.killHost("controller", true) }},
+	{"kill a store", func(s *site) func() { return s.killHost("store", false) }},
+	{"freeze a store", func(s *site) func() { return s.freezeHost("store") }},
+	{"wipe a store's disk", func(s *site) func() { return s.killHost("store", true) }},
+	{"partition a store", func(s *site) func() { r := s.randomHost("store").relay; r.Cut(true); return func() { r.Cut(false) } }},
 	{"stop a gateway", func(s *site) func() { s.restartGateway(); return nil }},
 	{"reload a gateway's settings", func(s *site) func() { s.randomHost("gateway").process.Signal(syscall.SIGHUP); return nil }},
 	{"kill all controllers", func(s *site) func() { return s.killAll("controller") }},
@@ -190,20 +194,20 @@
 }
 
 // injectFaults injects random faults until the deadline, then ends those that are still active. A
-// fault that disables controllers is skipped until the previous one has ended and repairInterval
+// fault that disables a host with a disk is skipped until the previous one has ended and repairInterval
 // has passed; other faults may overlap.
 func (s *site) injectFaults(deadline time.Time, note func(string)) {
 	var ends []func()
-	controllersSettledAt := time.Time{}
+	disksSettledAt := time.Time{}
 	for time.Now().Before(deadline) {
 		f := faults[s.rng.Intn(len(faults))]
 		length := time.Duration(500+s.rng.Intn(2500)) * time.Millisecond
 		pause := time.Duration(200+s.rng.Intn(1500)) * time.Millisecond
-		if disablesController(f.name) {
-			if time.Now().Before(controllersSettledAt) {
+		if disablesHostWithDisk(f.name) {
+			if time.Now().Before(disksSettledAt) {
 				continue
 			}
-			controllersSettledAt = time.Now().Add(length + repairInterval)
+			disksSettledAt = time.Now().Add(length + repairInterval)
 		}
 		note(fmt.Sprintf("%s for %s", f.name, length))
 		if end := f.run(s); end != nil {
@@ -225,10 +229,12 @@
 // tolerates the next one.
 const repairInterval = 4 * time.Second
 
-// disablesController reports whether a fault makes a controller unavailable or slow.
-func disablesController(name string) bool {
+// disablesHostWithDisk reports whether a fault makes a controller, or a store host, unavailable or slow: the
+// site tolerates the loss of one host with a disk at a time.
+func disablesHostWithDisk(name string) bool {
 	switch name {
-	case "kill a controller", "freeze a controller", "partition a controller", "drop a controller's replies",
+	case "kill a store", "freeze a store", "wipe a store's disk", "partition a store",
+		"kill a controller", "freeze a controller", "partition a controller", "drop a controller's replies",
 		"wipe a controller's disk", "kill all controllers", "delay a controller":
 		return true
 	}
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -35,14 +35,15 @@
 	Turns      int
 	Resumed    int // streams that callers resumed while checkResumes counted them
 	CutOff     int // requests at cut off gateways that checkCuts judged
+	ToStores   int // gateways that were told to send bodies of turns to store hosts, counted each time
 	Violations []string
 	Logs       string // directory with the logs; set only if the seed failed
 }
 
 // Summary returns the report as a few lines of text.
 func (r *Report) Summary() string {
-	out := fmt.Sprintf("seed %d: %d faults, %d attempts, %d served, %d turns recorded, %d streams resumed, %d requests at cut off gateways, %d guarantees violated",
-		r.Seed, len(r.Faults), r.Attempts, r.Served, r.Turns, r.Resumed, r.CutOff, len(r.Violations))
+	out := fmt.Sprintf("seed %d: %d faults, %d attempts, %d served, %d turns recorded, %d streams resumed, %d requests at cut off gateways, bodies to store hosts %d times, %d guarantees violated",
+		r.Seed, len(r.Faults), r.Attempts, r.Served, r.Turns, r.Resumed, r.CutOff, r.ToStores, len(r.Violations))
 	if len(r.Violations) > 0 {
 		out += "\n  " + strings.Join(r.Violations, "\n  ") + "\n  faults: " + strings.Join(r.Faults, "; ") + "\n  logs: " + r.Logs
 	}
@@ -137,6 +138,9 @@
 	cancel()
 	wg.Wait()
 	w.check(report, limits, evacuations, cuts)
+	for _, h := range s.hostsOfKind("gateway") {
+		report.ToStores += strings.Count(h.process.Stdout(), `"msg":"storage of turns on store hosts changed"`)
+	}
 	if w.probesServed == 0 {
 		report.Violations = append(report.Violations, "no request with the rotating key was served, so key revocation was not tested")
 	}
--- a/test/soak/site.go
+++ b/test/soak/site.go
@@ -21,8 +21,12 @@
 const (
 	controllerCount = 5
 	gatewayCount    = 3
-	modelTargets    = 4
-	appTargets      = 3
+	storeCount      = 4
+	// diskMB is the size of the hosts' disks in their settings. Turns fill the part of it that makes their
+	// bodies go to the store hosts within some seconds.
+	diskMB       = 8
+	modelTargets = 4
+	appTargets   = 3
 	// targetsPerVersion is the number of targets that are started with the same software version.
 	targetsPerVersion = 2
 	// requestRate is the admitted requests per second of each organisation. It is below the
@@ -95,6 +99,11 @@
 			return nil, err
 		}
 	}
+	for i := range storeCount {
+		if _, err := s.addHost("store", i); err != nil {
+			return nil, err
+		}
+	}
 	return s, s.startAll()
 }
 
@@ -166,7 +175,7 @@
 	h := &host{name: fmt.Sprint(kind, "-", n), kind: kind,
 		ip: fmt.Sprintf("127.%d.0.%d", s.network, i), bind: fmt.Sprintf("127.%d.1.%d", s.network, i)}
 	h.settings = standin.Settings{Name: h.name, IP: h.ip, Zone: fmt.Sprint("z", n%3), Seeds: s.seeds(),
-		Bootstrap: true, DataDir: filepath.Join(s.dir, h.name), List: s.listAddr}
+		Bootstrap: true, DataDir: filepath.Join(s.dir, h.name), List: s.listAddr, DiskMB: diskMB}
 	h.configFile = filepath.Join(s.dir, h.name+".toml")
 	relay, err := testsite.NewRelayAt(net.JoinHostPort(h.ip, fmt.Sprint(standin.InternalPort)), h.address(standin.InternalPort))
 	if err != nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -84,7 +84,7 @@
 // buildPrograms builds the gateway and the controller from a source tree and returns their directory.
 func buildPrograms(t *testing.T, source string) (bin string) {
 	bin = t.TempDir()
-	build := exec.Command("go", "build", "-o", bin, "./cmd/figlb-gateway", "./cmd/figlb-controller")
+	build := exec.Command("go", "build", "-o", bin, "./cmd/figlb-gateway", "./cmd/figlb-controller", "./cmd/figlb-store")
 	build.Dir = source
 	out, err := build.CombinedOutput()
 	NewWithT(t).Expect(err).NotTo(HaveOccurred(), string(out))
--- a/test/soak/upgrade.go
+++ b/test/soak/upgrade.go
@@ -16,14 +16,14 @@
 )
 
 // replaceBuilds stops the hosts one after the other, as planned work does, and starts each with the
-// program of another build, until all have been replaced or ctx ends. The gateways come first or last, by
-// the random numbers.
+// program of another build, until all have been replaced or ctx ends. The gateways come before or after
+// the controllers, by the random numbers, and the stores last.
 func (s *site) replaceBuilds(ctx context.Context, bin string, rng *rand.Rand) {
 	kinds := []string{"controller", "gateway"}
 	if rng.Intn(2) == 0 {
 		kinds[0], kinds[1] = kinds[1], kinds[0]
 	}
-	for _, kind := range kinds {
+	for _, kind := range append(kinds, "store") {
 		hosts := s.hostsOfKind(kind)
 		rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 		for _, h := range hosts {
--- a/test/soak/uploads.go
+++ b/test/soak/uploads.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand"
-	"strings"
 	"time"
 
 	"github.com/figlb/figlb/platform/standin"
@@ -22,7 +21,6 @@
 	caller := standin.NewCaller()
 	defer caller.Close()
 	gateways := w.site.hostsOfKind("gateway")
-	filler := strings.Repeat("0123456789abcdef", uploadBytes/16)
 	for i := 0; ctx.Err() == nil; i++ {
 		a := w.newAttempt(fmt.Sprintf("up-%d", i), "pay", i)
 		a.call.Body = filler + a.call.Body
--- a/test/soak/workload.go
+++ b/test/soak/workload.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"strings"
 	"sync"
 	"time"
 
@@ -51,8 +52,13 @@
 	// programTurns is the number of turns that a program's budget covers. Programs attempt
 	// more, so that the budget is exceeded.
 	programTurns = 5
+	// turnFiller is the length of what a turn's body has besides its name, so that turns fill the ledger.
+	turnFiller = 16 << 10
 )
 
+// filler is the content of long bodies.
+var filler = strings.Repeat("0123456789abcdef", uploadBytes/16)
+
 func newWorkload(s *site) *workload {
 	w := &workload{site: s, keys: map[string]string{}, revokedAt: map[int]time.Time{}, orgs: []string{"org-a", "org-b", "org-c"}}
 	for _, o := range w.orgs {
@@ -127,7 +133,7 @@
 	for turn := 0; ctx.Err() == nil && tries < 2 && turn < programTurns+2; {
 		a := attempt{org: org, kind: "chat", history: history, call: standin.Call{
 			ID: fmt.Sprintf("%s-t%d-%d", id, turn, tries), Method: "POST", Host: "site.example", Path: "/chat/x",
-			Body: fmt.Sprintf("[%s turn %d]", id, turn), Key: w.keys[org], Deadline: callDeadline, Program: "p-" + id,
+			Body: fmt.Sprintf("[%s turn %d]%s", id, turn, filler[:turnFiller]), Key: w.keys[org], Deadline: callDeadline, Program: "p-" + id,
 			Budget: programTurns * turnTokens, MaxTokens: turnTokens, Previous: previous}}
 		if rng.Intn(4) == 0 {
 			current = rng.Intn(len(gateways))
