--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,6 +12,7 @@
 	"github.com/figlb/figlb/admission/memory"
 	"github.com/figlb/figlb/errs"
 	"github.com/figlb/figlb/gateway/upstream"
+	"github.com/figlb/figlb/internal/clientlimit"
 	"github.com/figlb/figlb/internal/clock"
 )
 
@@ -53,8 +54,8 @@
 
 	mu      sync.Mutex
 	changed sync.Cond
-	pending []byte // not yet given to the writer
-	writing int    // bytes that are being written
+	pending [][]byte // not yet given to the writer
+	kept    int      // bytes in pending and of the running write
 	charged int64
 	ended   bool // nothing follows
 	aborted bool
@@ -76,9 +77,8 @@
 // run writes what has been added until the relay ends.
 func (r *relay) run() {
 	defer close(r.done)
-	var spare []byte
 	for {
-		out := r.next(spare)
+		out := r.next()
 		if out == nil {
 			return
 		}
@@ -86,37 +86,34 @@
 		if err == nil && r.flush {
 			err = r.rc.Flush()
 		}
-		spare = nil
-		if cap(out) <= freeRelayBytes {
-			spare = out[:0]
-		}
-		if !r.written(err) {
+		if !r.written(out, err) {
 			return
 		}
 	}
 }
 
 // next waits for bytes to write. It returns nil if none follow.
-func (r *relay) next(spare []byte) []byte {
+func (r *relay) next() []byte {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for len(r.pending) == 0 && !r.ended && !r.aborted {
 		r.changed.Wait()
 	}
-	if len(r.pending) == 0 || r.aborted {
+	if len(r.pending) == 0 || r.aborted { // what is left is dropped by close
 		return nil
 	}
-	out := r.pending
-	r.pending, r.writing = spare, len(out)
+	out := r.pending[0]
+	r.pending = r.pending[1:]
 	return out
 }
 
 // written records the result of a write. It returns false if it failed.
-func (r *relay) written(err error) bool {
+func (r *relay) written(out []byte, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.writing = 0
-	if len(r.pending) == 0 && r.charged > 0 {
+	r.kept -= len(out)
+	clientlimit.PutPiece(out)
+	if r.kept == 0 && r.charged > 0 {
 		r.holder.Shrink(r.charged)
 		r.charged = 0
 	}
@@ -151,18 +148,41 @@
 	if r.aborted {
 		return false, callerError{errCallerSlow}
 	}
-	kept := len(r.pending) + r.writing
-	if kept > 0 && kept+len(b) > r.limit {
+	if r.kept > 0 && r.kept+len(b) > r.limit {
 		return false, nil
 	}
-	if over := int64(kept + len(b) - freeRelayBytes); over > r.charged && !r.charge(over-r.charged) {
+	if over := int64(r.kept + len(b) - freeRelayBytes); over > r.charged && !r.charge(over-r.charged) {
 		return false, nil
 	}
-	r.pending = append(r.pending, b...)
+	r.keep(b)
 	r.changed.Signal()
 	return true, nil
 }
 
+// keep copies bytes to the last buffer, or to a new one if they do not fit. Few bytes get a buffer of their
+// size, and many get pieces that are used again. The caller holds mu.
+func (r *relay) keep(b []byte) {
+	last := len(r.pending) - 1
+	if last < 0 || cap(r.pending[last])-len(r.pending[last]) < len(b) {
+		var buf []byte
+		if r.kept+len(b) > freeRelayBytes {
+			buf = clientlimit.Piece()
+		}
+		r.pending = append(r.pending, buf)
+		last++
+	}
+	r.pending[last] = append(r.pending[last], b...)
+	r.kept += len(b)
+}
+
+// drop gives back what has not been written.
+func (r *relay) drop() {
+	for _, b := range r.pending {
+		clientlimit.PutPiece(b)
+	}
+	r.pending = nil
+}
+
 // charge accounts for n further bytes. The caller holds mu.
 func (r *relay) charge(n int64) bool {
 	if r.holder == nil {
@@ -198,6 +218,7 @@
 	<-r.done
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.drop()
 	r.holder.Close()
 	if r.err == nil && r.aborted {
 		return callerError{errCallerSlow}
--- a/internal/clientlimit/body.go
+++ b/internal/clientlimit/body.go
@@ -174,6 +174,16 @@
 // pieces are buffers of pieceBytes.
 var pieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
 
+// Piece returns an empty buffer of 64 KB, which PutPiece may give back.
+func Piece() []byte { return pieces.Get().(*[pieceBytes]byte)[:0] }
+
+// PutPiece gives back a buffer that is no longer used. It drops those that Piece has not returned.
+func PutPiece(b []byte) {
+	if cap(b) == pieceBytes {
+		pieces.Put((*[pieceBytes]byte)(b[:pieceBytes]))
+	}
+}
+
 // ReadBody reads a body of up to size bytes, which it returns also if there are fewer. Its memory grows with
 // what arrives: size only shows where to stop.
 func ReadBody(r io.Reader, size int64) ([]byte, error) {
