--- a/cmd/figlb-store/main.go
+++ b/cmd/figlb-store/main.go
@@ -55,6 +55,7 @@
 			return err
 		}
 		defer server.Close()
+		server.SetBounds(p.Limits.Internal())
 		bodystore.Register(server, h.store.Load)
 		go server.Serve() // ends with Close
 		wg.Go(h.runStore)
