--- a/gateway/upstream/early_response_test.go
+++ b/gateway/upstream/early_response_test.go
@@ -14,34 +14,18 @@
 )
 
 // earlyServer answers each request right after its head, without reading the body: with a response
-// without a length, of which it sends a part. finish ends the connection. Connections are accepted one by
-// one and closed with the test.
+// without a length, of which it sends a part. finish ends the connection.
 func earlyServer(t *testing.T, head string, finish func(c *net.TCPConn, r *bufio.Reader)) (addr string) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
+	return startTarget(t, func(c net.Conn, r *bufio.Reader) {
+		for line := ""; line != "\r\n"; {
+			var err error
+			if line, err = r.ReadString('\n'); err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r := bufio.NewReaderSize(c, 512)
-				for line := ""; line != "\r\n"; {
-					if line, err = r.ReadString('\n'); err != nil {
-						return
-					}
-				}
-				_, _ = io.WriteString(c, head+strings.Repeat("x", 4000))
-				finish(c.(*net.TCPConn), r)
-			}()
 		}
-	}()
-	return ln.Addr().String()
+		_, _ = io.WriteString(c, head+strings.Repeat("x", 4000))
+		finish(c.(*net.TCPConn), r)
+	})
 }
 
 func reset(c *net.TCPConn, _ *bufio.Reader) {
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -67,8 +66,7 @@
 
 // head returns the head of a request of an ordinary caller, with further lines that end with CRLF.
 func head(path, lines string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: a%d\r\nDeadline-Ms: 6000\r\nCredential: %s\r\nAuthorization: Bearer %s\r\n%s\r\n",
-		path, rand.Int64(), apiKey, apiKey, lines)
+	return standin.RawHead(path, apiKey, lines)
 }
 
 func write(c net.Conn, text string) error {
--- a/test/crowd/site_test.go
+++ b/test/crowd/site_test.go
@@ -112,8 +112,7 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-	w.Header().Set("Response-Signature", "sig")
+	standin.Sign(w, r)
 	size := 2
 	if strings.HasSuffix(r.URL.Path, "big") {
 		size = bigAnswer
