clientlimit: a refusal without the body no longer cancels the requests that follow on its connection

Cause: when a handler flushes a response before it has read a small body, net/http reads the rest itself and waits for the next request. Change: a body that the server has read counts as read.

--- a/internal/clientlimit/body.go
+++ b/internal/clientlimit/body.go
@@ -153,8 +153,14 @@
 	b.discarding = true
 	b.holder.Close()
 	b.limit = clock.Now() + within
+	var err error
 	if r.Header.Get("Expect") == "" { // else the client waits for an interim response before it sends the body
-		_, _ = io.CopyN(io.Discard, b, maxBytes+1)
+		_, err = io.CopyN(io.Discard, b, maxBytes+1)
+	}
+	if errors.Is(err, http.ErrBodyReadAfterClose) {
+		// The server has read the rest of the body for a response that was flushed, and may wait for the next
+		// request already: ending that read would cancel the contexts of all further requests.
+		b.end()
 	}
 	if !b.done {
 		w.Header().Set("Connection", "close")
