--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # With TROUBLE=0 it leaves out the disruption. What happened is in record.txt.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/cases2 ] || exit 2
-exec target/cases2 unreadable-entry review/7
+exec target/cases2 resumed-turn review/7
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -21,6 +21,7 @@
 	"unreadable-entry": unreadableEntry,
 	"foreign-entry":    foreignEntry,
 	"moved-list":       movedList,
+	"resumed-turn":     resumedTurn,
 }
 
 func main() {
