gateway: keep a turn whole when its stream is resumed

Callers saw: a turn of a route with keeps-history and resumable whose stream had broken off and was resumed at another gateway ended with 200.

Cause: what a stream has carried was known only to the process that relayed it. The attempt that ends the stream settled its own events as the output of the whole turn; a gateway that was killed settles nothing. The record of the case tells this from a lost settlement and from a read that is cut short: callers had all 12 events, and targets lacked exactly those from before the resume.

Change: while the stream of a turn runs that is kept and can be resumed, its gateway sends each event to the ledger as it is relayed; the caller does not wait for it. The reservation of an attempt that resumes the stream returns the text of the events that the caller has, and the turn is kept as that text and the attempt's own events. If the ledger does not hold them, the attempt is refused as not run (stream_not_resumable). Attempts that run at once are kept apart until the caller names an event of one of them. No logs are used before all controllers have reported that they know them (feature bit 2).

--- a/controller/bodies.go
+++ b/controller/bodies.go
@@ -14,10 +14,8 @@
 )
 
 const (
-	// bodiesInterval is the time between two decisions about bodies of turns, and featuresInterval the
-	// time between two questions for the features of the members.
-	bodiesInterval   = 100 * time.Millisecond
-	featuresInterval = time.Second
+	// bodiesInterval is the time between two decisions about bodies of turns.
+	bodiesInterval = 100 * time.Millisecond
 	// bodiesProposeTimeout bounds the commit of a change of what is recorded about bodies.
 	bodiesProposeTimeout = time.Second
 	// minStores is the number of store hosts that must remain after one is retired, while the store
@@ -25,21 +23,13 @@
 	minStores = 2
 )
 
-// Peers asks other members of the replicated groups.
-type Peers interface {
-	// MemberFeatures returns the features that the member at an address understands.
-	MemberFeatures(ctx context.Context, addr string) (uint64, error)
-}
-
 // bodyStorage holds the leader's decisions about bodies of turns on store hosts.
 type bodyStorage struct {
 	gate          bodyGate
 	recordFailing bool        // the last record has failed
 	toStores      atomic.Bool // bodies go to store hosts
 
-	mu       sync.Mutex
-	features map[string]uint64 // last answer of each member by address
-	retireMu sync.Mutex        // serialises orders to retire, so that each counts the ones before
+	retireMu sync.Mutex // serialises orders to retire, so that each counts the ones before
 }
 
 // runBodies decides about bodies of turns while this member leads the document group.
@@ -47,57 +37,9 @@
 	if s.opts.Copies == 0 {
 		return
 	}
-	go periodic.Run(ctx, featuresInterval, periodic.Always(s.askFeatures))
 	periodic.Run(ctx, bodiesInterval, periodic.Always(func(ctx context.Context) { s.decideBodies(ctx, clock.Now()) }))
 }
 
-// features answers which features this member understands.
-func (s *Server) features() *fleet.FeaturesReply {
-	return &fleet.FeaturesReply{Features: fleet.KnownFeatures()}
-}
-
-// askFeatures asks all members for their features if this member leads the document group. The last answer
-// of a member that does not answer is kept.
-func (s *Server) askFeatures(ctx context.Context) {
-	members := s.opts.Node.Members()
-	if s.leadingTerm() == 0 || s.opts.Peers == nil {
-		return
-	}
-	b := &s.bodies
-	var wg sync.WaitGroup
-	for _, addr := range members {
-		wg.Go(func() {
-			f, err := s.opts.Peers.MemberFeatures(ctx, addr)
-			if err != nil {
-				return
-			}
-			b.mu.Lock()
-			defer b.mu.Unlock()
-			if b.features == nil {
-				b.features = map[string]uint64{}
-			}
-			b.features[addr] = f
-		})
-	}
-	wg.Wait()
-}
-
-// memberFeatures returns whether all members have answered that they understand references to bodies, and
-// whether one has answered that it does not.
-func (s *Server) memberFeatures() (all, lacking bool) {
-	members := s.opts.Node.Members()
-	s.bodies.mu.Lock()
-	defer s.bodies.mu.Unlock()
-	all = true
-	for _, addr := range members {
-		f, answered := s.bodies.features[addr]
-		knows := answered && f&fleet.FeatureBodies != 0
-		all = all && knows
-		lacking = lacking || answered && !knows
-	}
-	return all, lacking
-}
-
 // decideBodies renews the view of the store hosts and decides whether bodies go to them.
 func (s *Server) decideBodies(ctx context.Context, now time.Duration) {
 	term := s.leadingTerm()
@@ -109,7 +51,7 @@
 	state := s.opts.Document.Get()
 	s.stores.refresh(now, term, s.opts.Copies, state.Retired, oldestView)
 	sum := s.stores.summary(now)
-	allKnow, lacking := s.memberFeatures()
+	allKnow, lacking := s.features.understand(s.opts.Node.Members(), fleet.FeatureBodies)
 	in := &gateInput{
 		kept: s.opts.Ledger.Bytes(), limit: s.opts.MaxLedgerBytes,
 		membersReady: s.membersKnowBodies() && !lacking, gatewaysReady: gatewaysReady,
--- a/controller/bodies_test.go
+++ b/controller/bodies_test.go
@@ -79,7 +79,7 @@
 			r.ViewRevision = b.heldView[name]
 			b.poll(&fleet.PollRequest{Host: name, Kind: fleet.KindStore, Store: r})
 		}
-		b.askFeatures(ctx)
+		b.askFeatures(ctx, b.opts.Node.Members())
 		b.decideBodies(ctx, b.now)
 		b.hosts.termStart = clock.Now() - time.Hour // all hosts have polled
 	}
@@ -158,7 +158,7 @@
 	g.Expect(b.bodies.toStores.Load()).To(BeTrue())
 	peers := b.opts.Peers.(peerFeatures)
 	delete(peers, "c2")
-	b.bodies.features = nil
+	b.features.answered = nil
 	b.node.term.Add(1)
 	b.run(200 * time.Millisecond)
 	g.Expect(b.bodies.toStores.Load()).To(BeTrue(), "before the store hosts have polled")
--- a/controller/ledger.go
+++ b/controller/ledger.go
@@ -18,11 +18,14 @@
 	if err := s.admitProgram(req); err != nil {
 		return nil, err
 	}
+	if err := s.checkLog(req); err != nil {
+		return nil, err
+	}
 	reply, err := propose[ledgersm.Reply](ctx, s, fleet.LedgerGroup, &ledgersm.Command{Reserve: req})
 	if err != nil {
 		return nil, err
 	}
-	out := &fleet.ReserveReply{Verdict: uint8(reply.Verdict), Spent: reply.Spent, Reserved: reply.Reserved, Source: reply.Source}
+	out := &fleet.ReserveReply{Verdict: uint8(reply.Verdict), Spent: reply.Spent, Reserved: reply.Reserved, Source: reply.Source, Log: reply.Log}
 	if reply.Verdict != ledgersm.OK || req.Previous == "" {
 		return out, nil
 	}
--- a/controller/server.go
+++ b/controller/server.go
@@ -66,6 +66,8 @@
 	targetList targetList
 	stores     storeTable
 	bodies     bodyStorage
+	features   featureTable
+	events     eventCombiner
 	rollouts   rolloutTable
 	// ledgerFull is set while new programs that keep turns are refused.
 	ledgerFull atomic.Bool
@@ -94,9 +96,10 @@
 	fleet.Handle(w, fleet.MethodSettle, s.settle)
 	fleet.Handle(w, fleet.MethodProgram, s.programBegun)
 	fleet.Handle(w, fleet.MethodStream, s.recordStream)
+	fleet.Handle(w, fleet.MethodEvents, s.appendEvents)
 	fleet.Handle(w, fleet.MethodContact, s.contact)
 	fleet.Handle(w, fleet.MethodKnownBodies, s.knownBodies)
-	fleet.Handle(w, fleet.MethodFeatures, func(context.Context, *struct{}) (*fleet.FeaturesReply, error) { return s.features(), nil })
+	fleet.Handle(w, fleet.MethodFeatures, s.ownFeatures)
 	fleet.Handle(w, fleet.MethodRetire, s.retire)
 	fleet.Handle(w, fleet.MethodRollout, s.startRollout)
 	fleet.Handle(w, fleet.MethodRolloutState, s.rolloutState)
--- a/controller/targets.go
+++ b/controller/targets.go
@@ -49,6 +49,7 @@
 // elected right afterwards has a list, and then while this member leads the document group. It also
 // decides about bodies of turns on store hosts.
 func (s *Server) Run(ctx context.Context) {
+	go periodic.Run(ctx, featuresInterval, periodic.Always(s.updateFeatures))
 	go s.runBodies(ctx)
 	go periodic.Run(ctx, rolloutInterval, periodic.Always(s.advanceRollouts))
 	s.readTargets(ctx, s.leadingTerm())
--- a/fleet/messages.go
+++ b/fleet/messages.go
@@ -254,4 +254,6 @@
 	Parts []HistoryPart `msgpack:"hp,omitempty"`
 	// Source is the source of the stream that the turn begins or resumes.
 	Source ledgersm.StreamSource `msgpack:"e"`
+	// Log is the log to which the events of the turn's stream are to be appended; nil: the turn has none.
+	Log *ledgersm.LogReply `msgpack:"lg,omitempty"`
 }
--- a/fleet/rollouts.go
+++ b/fleet/rollouts.go
@@ -20,7 +20,7 @@
 const FeatureRollouts uint64 = 1 << 1
 
 // KnownFeatures returns the features that this build understands.
-func KnownFeatures() uint64 { return FeatureBodies | FeatureRollouts }
+func KnownFeatures() uint64 { return FeatureBodies | FeatureRollouts | FeatureEventLogs }
 
 // RolloutRequest orders a roll-out.
 type RolloutRequest struct {
--- a/gateway/adapter.go
+++ b/gateway/adapter.go
@@ -45,9 +45,9 @@
 	PromptParts  []balance.PromptPart
 	PreviousTurn string // id of the turn that this one continues
 	Affinity     string // equal for requests on the same object
-	// Resumes is set if the caller already has the beginning of the stream and requests the
-	// rest.
-	Resumes bool
+	// LastEvent is the ID of the last event that the caller has of a stream of which it requests the rest;
+	// empty: the whole stream is requested.
+	LastEvent string
 	// Origin is the id of the attempt that brought the first event of the stream that the caller
 	// resumes; empty if it does not say.
 	Origin string
--- a/gateway/contact.go
+++ b/gateway/contact.go
@@ -51,6 +51,7 @@
 	registerRelay(g, s, fleet.MethodSettle, c.Settle)
 	registerRelay(g, s, fleet.MethodProgram, c.Program)
 	registerRelay(g, s, fleet.MethodStream, c.RecordStream)
+	registerRelay(g, s, fleet.MethodEvents, c.AppendEvents)
 	s.HandleStream(fleet.MethodTunnel, g.acceptTunnel)
 }
 
--- /dev/null
+++ b/gateway/eventlog.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/figlb/figlb/errs"
+	"github.com/figlb/figlb/internal/clock"
+	"github.com/figlb/figlb/statemachine/ledgersm"
+)
+
+// A caller may resume a stream at any gateway, also after the one that relayed its first events is gone. If
+// the turn is kept, the gateway at which it ends needs those events too. Each event is therefore sent to the
+// ledger as it is relayed. The caller does not wait for that; an event that has reached the caller and not the
+// ledger makes the stream one that cannot be resumed.
+
+const (
+	// maxAppendCalls bounds the concurrent calls that append events. Events of further streams wait for the
+	// end of one and then share the next.
+	maxAppendCalls = 4
+	// maxAppendBytes is the size of the events from which a call takes no more streams.
+	maxAppendBytes = 128 << 10
+	// appendTimeout bounds a call, during which no further events of its streams are sent.
+	appendTimeout = time.Second
+	// appendRetryDelay is the pause after a call that has failed.
+	appendRetryDelay = 50 * time.Millisecond
+	// missingEventsWait is the time for which a resumed turn waits for events that another gateway may still
+	// be sending to the ledger, and missingEventsStep the time between two attempts.
+	missingEventsWait = 300 * time.Millisecond
+	missingEventsStep = 30 * time.Millisecond
+)
+
+// logRequest returns what the reservation of a turn says about the log of its stream, or nil if the turn
+// needs none.
+func (x *exchange) logRequest() *ledgersm.LogRequest {
+	if !x.route.KeepsHistory || !x.resumable() {
+		return nil
+	}
+	r := &ledgersm.LogRequest{Keep: x.sourceRetention()}
+	if x.resumes() {
+		r.Resumes, r.Origin, r.After = true, x.req.Origin, x.req.LastEvent
+	}
+	return r
+}
+
+// checkKeptWhole refuses a turn that would be kept without the events that its caller has.
+func (x *exchange) checkKeptWhole() error {
+	if !x.isTurn() || !x.route.KeepsHistory || x.resumable() || x.req.LastEvent == "" {
+		return nil
+	}
+	return notResumableError("route %q keeps turns, and their streams cannot be resumed", x.route.Name)
+}
+
+// adoptLog takes over the log of the turn's stream from the reply to its reservation.
+func (x *exchange) adoptLog(log *ledgersm.LogReply) error {
+	if log == nil {
+		if x.resumes() && x.route.KeepsHistory {
+			return notResumableError("the ledger does not keep the events of streams yet")
+		}
+		return nil
+	}
+	x.before = log.Before
+	x.events = x.g.eventLogs.open(x.org, log.Origin, x.req.ID, x.deadline+settleTimeout)
+	if x.resumes() {
+		x.g.metrics.streamsJoined.Inc(1)
+	}
+	return nil
+}
+
+// awaitEvents reports whether a turn that resumes a stream should be reserved again, because the last events
+// of the stream may still be on their way to the ledger.
+func (x *exchange) awaitEvents(ctx context.Context) bool {
+	now := clock.Now()
+	if x.eventsMissingSince == 0 {
+		x.eventsMissingSince = now
+	}
+	return now-x.eventsMissingSince < missingEventsWait && sleep(ctx, missingEventsStep)
+}
+
+// unknownEventsError refuses to resume a stream whose events the ledger does not hold.
+func (x *exchange) unknownEventsError() error {
+	x.g.metrics.streamsNotJoined.Inc(1)
+	return notResumableError("the ledger does not hold the events up to %q of the stream that attempt %q began", x.req.LastEvent, x.req.Origin)
+}
+
+// eventLogs appends the events of streams to their logs in the ledger.
+type eventLogs struct {
+	g *Gateway
+
+	mu      sync.Mutex
+	waiting []*eventLog // have unsent events and are in no call
+	calls   int
+	failing bool // the last call has failed
+}
+
+// eventLog holds the events of one stream that the ledger has not confirmed. A nil eventLog takes none.
+type eventLog struct {
+	logs                 *eventLogs
+	org, origin, attempt string
+	giveUpAt             time.Duration // clock time
+
+	// Guarded by logs.mu.
+	added   int // number of events
+	held    int // number of events in the ledger
+	unsent  []ledgersm.Event
+	queued  bool // is in logs.waiting or in a call
+	dropped bool // takes no more events
+}
+
+// open returns the log of an attempt's stream. Events that the ledger has not confirmed at the clock time
+// giveUpAt are dropped.
+func (l *eventLogs) open(org, origin, attempt string, giveUpAt time.Duration) *eventLog {
+	return &eventLog{logs: l, org: org, origin: origin, attempt: attempt, giveUpAt: giveUpAt}
+}
+
+// add sends events to the ledger. It does not wait.
+func (e *eventLog) add(events []ledgersm.Event) {
+	if e == nil || len(events) == 0 {
+		return
+	}
+	l := e.logs
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e.added += len(events)
+	if e.dropped {
+		return
+	}
+	e.unsent = append(e.unsent, events...)
+	l.enqueue(e)
+	l.startCall()
+}
+
+// total returns the number of events that have been added.
+func (e *eventLog) total() int {
+	e.logs.mu.Lock()
+	defer e.logs.mu.Unlock()
+	return e.added
+}
+
+// enqueue has the unsent events of a stream sent with the next call. The caller holds mu.
+func (l *eventLogs) enqueue(e *eventLog) {
+	if e.queued || len(e.unsent) == 0 {
+		return
+	}
+	e.queued = true
+	l.waiting = append(l.waiting, e)
+}
+
+// startCall sends the waiting events unless enough calls are in progress. The caller holds mu.
+func (l *eventLogs) startCall() {
+	if l.calls >= maxAppendCalls || len(l.waiting) == 0 || l.g.ctx.Err() != nil {
+		return
+	}
+	streams, req := l.takeBatches()
+	l.calls++
+	l.g.wg.Go(func() { l.call(streams, req) })
+}
+
+// takeBatches removes streams from those that wait, up to the size of one call. The caller holds mu.
+func (l *eventLogs) takeBatches() ([]*eventLog, *ledgersm.AppendEvents) {
+	var streams []*eventLog
+	req := &ledgersm.AppendEvents{}
+	for size := 0; len(l.waiting) > 0 && size < maxAppendBytes; {
+		e := l.waiting[0]
+		l.waiting = l.waiting[1:]
+		batch := ledgersm.EventBatch{Org: e.org, Origin: e.origin, Attempt: e.attempt, First: e.held, Events: e.unsent}
+		size += batch.Bytes()
+		streams, req.Batches = append(streams, e), append(req.Batches, batch)
+	}
+	return streams, req
+}
+
+// call appends one batch of each stream to its log.
+func (l *eventLogs) call(streams []*eventLog, req *ledgersm.AppendEvents) {
+	ctx, cancel := context.WithTimeout(l.g.ctx, appendTimeout)
+	reply, err := l.g.opts.Client.AppendEvents(ctx, req)
+	cancel()
+	if err == nil && len(reply.Held) != len(streams) {
+		err = errs.New(errs.Unavailable, "send the events again", "the reply concerns %d streams instead of %d", len(reply.Held), len(streams))
+	}
+	l.logOutcome(err)
+	if err != nil {
+		sleep(l.g.ctx, appendRetryDelay)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := clock.Now()
+	for i, e := range streams {
+		e.queued = false
+		if err == nil {
+			e.confirm(reply.Held[i])
+		}
+		if now > e.giveUpAt {
+			e.drop()
+		}
+		l.enqueue(e)
+	}
+	l.calls--
+	l.startCall()
+}
+
+// confirm records how many events the ledger holds. The caller holds logs.mu.
+func (e *eventLog) confirm(held int) {
+	if held < e.held || held > e.held+len(e.unsent) {
+		e.drop() // ledgersm.LogClosed, or the ledger has lost events
+		return
+	}
+	e.unsent = e.unsent[held-e.held:]
+	e.held = held
+}
+
+// drop ends a log. The caller holds logs.mu.
+func (e *eventLog) drop() { e.unsent, e.dropped = nil, true }
+
+// logOutcome counts a call and logs the first of several failures in a row, and their end.
+func (l *eventLogs) logOutcome(err error) {
+	l.g.metrics.eventCalls.Inc(1)
+	if err != nil {
+		l.g.metrics.eventCallFailures.Inc(1)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failing == (err != nil) {
+		return
+	}
+	l.failing = err != nil
+	if err != nil {
+		l.g.log.Info("cannot append events of streams to their logs; retrying", "reason", err.Error())
+	} else {
+		l.g.log.Info("events of streams are appended to their logs again")
+	}
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -3,26 +3,31 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/figlb/figlb/internal/clock"
+	"github.com/figlb/figlb/statemachine/ledgersm"
 )
 
 // eventRecorder parses the server-sent events of a stream. It counts the events that carry data
 // and, if keepData is set, keeps their data for the program's history.
 type eventRecorder struct {
 	keepData bool
-	count    int
+	log      *eventLog     // gets the events; nil: they are not logged
+	count    int           // without the events that the caller had before
 	firstAt  time.Duration // clock time at which the first event ended
 	lastAt   time.Duration
-	output   []byte // the data of each event, followed by a line feed
+	output   []byte // the data of each event, followed by a line feed; also of those that the caller had before
 
-	line    []byte // incomplete last line
-	data    []byte // data of the incomplete last event
-	hasData bool   // the incomplete event has a data field
-	inEvent bool   // a field has begun an event that no blank line has ended
+	line    []byte           // incomplete last line
+	data    []byte           // data of the incomplete last event
+	id      string           // its ID
+	ended   []ledgersm.Event // events that are not in the log yet
+	hasData bool             // the incomplete event has a data field
+	inEvent bool             // a field has begun an event that no blank line has ended
 }
 
 const (
@@ -33,9 +38,10 @@
 	maxOutputBytes = 1 << 20
 )
 
-// add parses the next bytes of the stream. It fails if an event or the kept data grows too
-// long.
+// add parses the next bytes of the stream and logs the events that they complete. It fails if an event or the
+// kept data grows too long.
 func (e *eventRecorder) add(b []byte) error {
+	defer e.flushLog()
 	for {
 		i := bytes.IndexByte(b, '\n')
 		if len(e.line)+len(e.data) > maxEventBytes {
@@ -71,8 +77,15 @@
 	return nil
 }
 
+// flushLog appends the events that have ended to the log.
+func (e *eventRecorder) flushLog() {
+	e.log.add(e.ended)
+	e.ended = nil
+}
+
 var (
 	dataField     = []byte("data:")
+	idField       = []byte("id:")
 	commentPrefix = []byte(":")
 )
 
@@ -85,6 +98,9 @@
 	case bytes.HasPrefix(line, dataField):
 		e.inEvent = true
 		e.addData(bytes.TrimPrefix(line[len(dataField):], []byte(" ")))
+	case bytes.HasPrefix(line, idField):
+		e.inEvent = true
+		e.id = string(bytes.TrimPrefix(line[len(idField):], []byte(" ")))
 	default:
 		e.inEvent = true
 	}
@@ -103,7 +119,11 @@
 
 func (e *eventRecorder) endEvent() {
 	e.inEvent = false
+	defer func() { e.id = "" }()
 	if !e.hasData {
+		if e.id != "" {
+			e.logEvent(nil)
+		}
 		return
 	}
 	e.lastAt = clock.Now()
@@ -112,8 +132,18 @@
 	}
 	e.count++
 	if e.keepData {
+		start := len(e.output)
 		e.output = append(e.output, e.data...)
 		e.output = append(e.output, '\n')
+		e.logEvent(e.output[start:])
 	}
 	e.data, e.hasData = e.data[:0], false
 }
+
+// logEvent adds an event, whose text is not modified any more, to those that go to the log. One without data
+// has no text, but a caller may resume the stream after it.
+func (e *eventRecorder) logEvent(text []byte) {
+	if e.log != nil {
+		e.ended = append(e.ended, ledgersm.Event{ID: e.id, Text: slices.Clip(text)})
+	}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -44,9 +44,15 @@
 	source         ledgersm.StreamSource
 	sourceRevision uint32
 	sourceRecorded <-chan error
-	carriers       upstream.Carriers // connections on which the request has been sent
-	status         int               // of the complete response; 0: none or an incomplete one; -1: an error of figlb
-	note           string
+	// events is the log of the stream of a turn that is kept, and before the text of the events that the
+	// caller had when it resumed the stream. eventsMissingSince is the clock time at which the ledger first
+	// lacked some of these; 0: it did not.
+	events             *eventLog
+	before             []byte
+	eventsMissingSince time.Duration
+	carriers           upstream.Carriers // connections on which the request has been sent
+	status             int               // of the complete response; 0: none or an incomplete one; -1: an error of figlb
+	note               string
 }
 
 const (
@@ -108,6 +114,9 @@
 	if err := x.checkOrigin(); err != nil {
 		return err
 	}
+	if err := x.checkKeptWhole(); err != nil {
+		return err
+	}
 	if err := x.checkTimeLeft(); err != nil {
 		return err
 	}
@@ -235,7 +244,7 @@
 		service = x.service()
 	}
 	return []any{"request", id, "program", program, "route", route, "service", service, "org", x.org, "targets", x.targets,
-		"resumes", origin, "version", x.version, "took_ms", took.Milliseconds(), "config", x.g.config.version(), "config_age_ms", x.g.config.age().Milliseconds(), "note", x.note}
+		"resumes", origin, "joined_bytes", len(x.before), "version", x.version, "took_ms", took.Milliseconds(), "config", x.g.config.version(), "config_age_ms", x.g.config.age().Milliseconds(), "note", x.note}
 }
 
 // service returns the service to which the request is routed: for a resumed stream the one that began
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,7 @@
 	admissions    *admission
 	scarcity      permitScarcity
 	settler       *settler
+	eventLogs     eventLogs
 	crashes       crashReports
 	latencies     latencyBaselines
 	intervals     eventIntervals
@@ -94,6 +95,7 @@
 	g.links = g.newLinks()
 	g.admissions = newAdmission(g)
 	g.settler = newSettler(g)
+	g.eventLogs.g = g
 	g.wg.Go(func() { g.config.run(g.ctx) })
 	g.wg.Go(func() { g.leaderContact.run(g.ctx) })
 	g.wg.Go(func() { g.links.Run(g.ctx) })
--- a/gateway/ledger.go
+++ b/gateway/ledger.go
@@ -52,7 +52,7 @@
 	req := &ledgersm.Reserve{
 		Org: x.org, Program: x.req.Program, Attempt: x.req.ID,
 		Budget: x.req.Budget, Tokens: x.req.MaxTokens, Retention: x.route.Retention,
-		Hold: max(x.timeLeft(), 0) + settleTimeout, Stream: x.streamRecord(),
+		Hold: max(x.timeLeft(), 0) + settleTimeout, Stream: x.streamRecord(), Log: x.logRequest(),
 	}
 	if x.route.KeepsHistory {
 		req.Previous, req.WillKeep = x.req.PreviousTurn, true
@@ -61,7 +61,7 @@
 	reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	reply, err := x.g.opts.Client.Reserve(reserveCtx, req)
-	if e := errs.From(err); e != nil && e.Code == errs.Overloaded {
+	if e := errs.From(err); e != nil && (e.Code == errs.Overloaded || e.Code == errs.StreamNotResumable) {
 		return e
 	}
 	if err != nil {
@@ -77,12 +77,22 @@
 		if err := x.adoptSource(reply.Source); err != nil {
 			return err
 		}
+		if err := x.adoptLog(reply.Log); err != nil {
+			return err
+		}
 		return x.loadHistory(ctx, reply)
 	case ledgersm.UnknownStream:
 		if x.adoptSoleVersion() {
 			return x.reserveTokens(ctx) // does not ask for the source again
 		}
 		return x.adoptSource(ledgersm.StreamSource{})
+	case ledgersm.EventsMissing:
+		if x.awaitEvents(ctx) {
+			return x.reserveTokens(ctx)
+		}
+		return x.unknownEventsError()
+	case ledgersm.EventsUnknown:
+		return x.unknownEventsError()
 	case ledgersm.BudgetExhausted:
 		return errs.New(errs.BudgetExhausted, "begin a new program",
 			"program %q has used %d and reserved %d of %d tokens", x.req.Program, reply.Spent, reply.Reserved, x.req.Budget)
@@ -112,6 +122,9 @@
 func (x *exchange) fillSettle(s *ledgersm.Settle) {
 	s.Org, s.Program, s.Attempt = x.org, x.req.Program, x.req.ID
 	s.Previous, s.Retention = x.req.PreviousTurn, x.route.Retention
+	if x.events != nil {
+		s.Log, s.LogEvents = x.events.origin, x.events.total()
+	}
 }
 
 // settleAsync ends the reservation in the background. If this fails, the whole reservation
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -27,7 +27,12 @@
 	// bodiesUnavailable count histories with bodies on store hosts: those that were read and those that
 	// could not be.
 	bodiesStored, bodiesInline, bodiesLoaded, bodiesUnavailable metrics.Counter
-	latency                                                     metrics.Histogram // in microseconds
+	// streamsJoined and streamsNotJoined count the kept turns whose stream was resumed: those that continue the
+	// events before, and those that were refused because the ledger does not hold these.
+	streamsJoined, streamsNotJoined metrics.Counter
+	// eventCalls and eventCallFailures count the calls that append events of streams to their logs.
+	eventCalls, eventCallFailures metrics.Counter
+	latency                       metrics.Histogram // in microseconds
 	// servedLines, refusalLines and bodyLines bound the log lines of served requests, of refusals of
 	// targets, and of bodies that store hosts did not take.
 	servedLines, refusalLines, bodyLines lineLimiter
@@ -60,6 +65,10 @@
 		bodiesInline:      metrics.GetOrRegisterCounter("gateway.bodies.inline", r),
 		bodiesLoaded:      metrics.GetOrRegisterCounter("gateway.bodies.loaded", r),
 		bodiesUnavailable: metrics.GetOrRegisterCounter("gateway.bodies.unavailable", r),
+		streamsJoined:     metrics.GetOrRegisterCounter("gateway.resumed_turns.joined", r),
+		streamsNotJoined:  metrics.GetOrRegisterCounter("gateway.resumed_turns.refused", r),
+		eventCalls:        metrics.GetOrRegisterCounter("gateway.event_log.calls", r),
+		eventCallFailures: metrics.GetOrRegisterCounter("gateway.event_log.failures", r),
 		latency:           metrics.GetOrRegisterHistogram("gateway.latency_us", r, metrics.NewExpDecaySample(latencySamples, latencyDecay)),
 	}
 }
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -116,7 +117,7 @@
 		resp.Finish(false)
 		return sendResult{err: err}
 	}
-	rec := &eventRecorder{keepData: x.route.KeepsHistory}
+	rec := &eventRecorder{keepData: x.route.KeepsHistory, output: slices.Clip(x.before), log: x.events}
 	err := x.copyEvents(resp, rec, func() {
 		x.note = noteStarted
 		x.observe(t, &balance.Outcome{OK: true, Slowness: x.slowness(sent), Load: -1})
@@ -124,8 +125,10 @@
 		x.writeHeader(resp.Response, "")
 	})
 	x.recordEventInterval(rec)
-	if err == nil {
+	if err == nil && !x.resumes() { // the rest of a stream takes less time than a turn
 		x.g.turns.record(x.route.Name, clock.Now()-sent)
+	}
+	if err == nil {
 		x.g.rollouts.recordGood(x.route.Name, t, rec.meanPause())
 	}
 	switch {
--- a/gateway/streams.go
+++ b/gateway/streams.go
@@ -35,7 +35,7 @@
 func (x *exchange) resumable() bool { return x.route.Kind == routing.Streaming && x.route.Resumable }
 
 // resumes reports whether the request resumes a stream.
-func (x *exchange) resumes() bool { return x.resumable() && x.req.Resumes }
+func (x *exchange) resumes() bool { return x.resumable() && x.req.LastEvent != "" }
 
 // streamRecord returns what the reservation of a turn says about the source of its stream, or nil if
 // the stream can't be resumed.
--- a/gateway/turntime.go
+++ b/gateway/turntime.go
@@ -68,7 +68,7 @@
 // have their full time, and the tokens of their incomplete streams would be spent as well. A
 // stream that is resumed is not checked: it needs less time, and how much is unknown.
 func (x *exchange) checkTimeLeft() error {
-	if !x.isTurn() || x.req.Resumes {
+	if !x.isTurn() || x.req.LastEvent != "" {
 		return nil
 	}
 	need := min(x.g.turns.medianFor(x.route.Name), x.route.Timeout/minTurnsPerTimeout)
--- a/gateway/turntime_test.go
+++ b/gateway/turntime_test.go
@@ -36,9 +36,13 @@
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			g := NewWithT(t)
+			lastEvent := ""
+			if c.resumes {
+				lastEvent = "3"
+			}
 			x := &exchange{
 				g: &Gateway{}, r: httptest.NewRequest("POST", "/", nil),
-				req:   &Request{Program: c.program, Budget: 100, Resumes: c.resumes},
+				req:   &Request{Program: c.program, Budget: 100, LastEvent: lastEvent},
 				route: &routing.Route{Name: "r", Kind: routing.Streaming, Timeout: timeout},
 			}
 			for range c.turns {
--- a/stateclient/fleet.go
+++ b/stateclient/fleet.go
@@ -93,6 +93,11 @@
 	return callController[ledgersm.Reply](ctx, c, fleet.LedgerGroup, fleet.MethodStream, true, req)
 }
 
+// AppendEvents appends events of streams to their logs. It may be repeated.
+func (c *Client) AppendEvents(ctx context.Context, req *ledgersm.AppendEvents) (*ledgersm.Reply, error) {
+	return callController[ledgersm.Reply](ctx, c, fleet.LedgerGroup, fleet.MethodEvents, true, req)
+}
+
 // ProgramBegun reports whether the ledger knows a program.
 func (c *Client) ProgramBegun(ctx context.Context, req *fleet.ProgramRequest) (bool, error) {
 	reply, err := c.Program(ctx, req)
--- a/statemachine/ledgersm/block.go
+++ b/statemachine/ledgersm/block.go
@@ -70,13 +70,14 @@
 // length of the index, the index, the commands of the last block and then the other blocks, which
 // are the chunks of the snapshot, in the order of their ids.
 type index struct {
-	Programs      map[string]*program `msgpack:"p"`
-	Turns         map[string]*turn    `msgpack:"t"`
-	Streams       map[string]*stream  `msgpack:"e,omitempty"`
-	Blocks        []blockEntry        `msgpack:"b"` // all blocks but the last
-	LastBlock     uint64              `msgpack:"l"`
-	LastBlockSize int                 `msgpack:"z"`
-	LastSweep     time.Duration       `msgpack:"s"`
+	Programs      map[string]*program  `msgpack:"p"`
+	Turns         map[string]*turn     `msgpack:"t"`
+	Streams       map[string]*stream   `msgpack:"e,omitempty"`
+	Logs          map[string]*eventLog `msgpack:"g,omitempty"`
+	Blocks        []blockEntry         `msgpack:"b"` // all blocks but the last
+	LastBlock     uint64               `msgpack:"l"`
+	LastBlockSize int                  `msgpack:"z"`
+	LastSweep     time.Duration        `msgpack:"s"`
 }
 
 // blockEntry describes a full block in the index.
@@ -92,7 +93,7 @@
 func (m *Machine) ChunkedSnapshot() (snapshot.Snapshot, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	idx := index{Programs: m.programs, Turns: m.turns, Streams: m.streams, LastBlock: m.lastBlock, LastSweep: m.lastSweep}
+	idx := index{Programs: m.programs, Turns: m.turns, Streams: m.streams, Logs: m.logs, LastBlock: m.lastBlock, LastSweep: m.lastSweep}
 	out := snapshot.Snapshot{}
 	var open [][]byte
 	for _, id := range m.blockIDs() {
@@ -200,6 +201,7 @@
 	if idx.Streams != nil {
 		restored.streams = idx.Streams
 	}
+	restored.restoreLogs(idx.Logs)
 	for k, t := range idx.Turns {
 		if err := restored.locateCommand(t); err != nil {
 			return err
@@ -209,6 +211,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.programs, m.turns, m.streams, m.blocks = restored.programs, restored.turns, restored.streams, restored.blocks
+	m.logs, m.logBytes = restored.logs, restored.logBytes
 	m.lastBlock, m.storedBytes, m.lastSweep = restored.lastBlock, restored.storedBytes, restored.lastSweep
 	return nil
 }
--- a/statemachine/ledgersm/machine.go
+++ b/statemachine/ledgersm/machine.go
@@ -25,7 +25,9 @@
 	mu          sync.RWMutex
 	programs    map[string]*program
 	turns       map[string]*turn
-	streams     map[string]*stream // by attempt
+	streams     map[string]*stream   // by attempt
+	logs        map[string]*eventLog // by the attempt that began the stream
+	logBytes    int64                // size of all logs
 	blocks      map[uint64]*block
 	lastBlock   uint64 // id of the block that takes new turns
 	storedBytes int64  // size of all blocks
@@ -34,13 +36,19 @@
 
 // New returns an empty machine.
 func New() *Machine {
-	return &Machine{programs: map[string]*program{}, turns: map[string]*turn{}, streams: map[string]*stream{}, blocks: map[uint64]*block{}}
+	return &Machine{programs: map[string]*program{}, turns: map[string]*turn{}, streams: map[string]*stream{}, logs: map[string]*eventLog{}, blocks: map[uint64]*block{}}
 }
 
 // key returns the map key of a program or turn. It includes the organisation, so that no
 // organisation can use the programs and turns of another.
 func key(org, id string) string { return org + "\x00" + id }
 
+// splitKey returns the parts of a key.
+func splitKey(k string) (org, id string) {
+	org, id, _ = strings.Cut(k, "\x00")
+	return org, id
+}
+
 // Apply executes an encoded command and returns the encoded Reply.
 func (m *Machine) Apply(_ uint64, now time.Duration, cmd []byte) []byte {
 	var c Command
@@ -66,6 +74,8 @@
 		return m.settle(now, c.Settle, cmd)
 	case c.Stream != nil:
 		return m.recordStream(now, c.Stream)
+	case c.Events != nil:
+		return m.appendEvents(c.Events)
 	}
 	return Reply{Verdict: Malformed}
 }
@@ -81,12 +91,22 @@
 			return Reply{Verdict: UnknownStream}
 		}
 	}
+	var log logMatch
+	if c.Log != nil {
+		var verdict Verdict
+		if log, verdict = m.findLog(c); verdict != OK {
+			return Reply{Verdict: verdict}
+		}
+	}
 	p := m.touchProgram(now, c.Org, c.Program, c.Retention)
 	if p.Budget == 0 {
 		p.Budget = c.Budget
 	}
 	reply := Reply{Verdict: OK, Spent: p.Spent, Reserved: p.reserved(), Source: source}
 	if _, exists := p.Reservations[c.Attempt]; exists {
+		if c.Log != nil {
+			reply.Log = m.openLog(now, c, log)
+		}
 		return reply
 	}
 	if p.Budget > 0 && reply.Spent+reply.Reserved+c.Tokens > p.Budget {
@@ -97,6 +117,9 @@
 	if c.Stream != nil {
 		m.keepSource(now, c.Org, c.Program, c.Attempt, c.Stream, source)
 	}
+	if c.Log != nil {
+		reply.Log = m.openLog(now, c, log)
+	}
 	m.holdForTurn(now, p, c)
 	return reply
 }
@@ -118,8 +141,12 @@
 		delete(p.Reservations, c.Attempt)
 		p.Spent += c.Tokens
 	}
+	if c.Log != "" {
+		m.endAttempt(c)
+	}
 	if c.StreamEnded {
 		m.endStream(now, c.Org, c.Attempt)
+		m.endLog(now, c.Org, c.Log)
 	}
 	reply := Reply{Verdict: OK, Spent: p.Spent, Reserved: p.reserved()}
 	if c.Keep && !m.keepTurn(now, c, cmd) {
@@ -259,7 +286,7 @@
 	return m.storedBytes
 }
 
-// sweep removes expired programs, turns and sources of streams. It depends on the time of the replicated log only, so
+// sweep removes expired programs, turns, sources and logs of streams. It depends on the time of the replicated log only, so
 // all members remove the same.
 func (m *Machine) sweep(now time.Duration) {
 	if now-m.lastSweep < SweepInterval {
@@ -276,6 +303,7 @@
 			delete(m.streams, k)
 		}
 	}
+	m.sweepLogs(now)
 	for k, t := range m.turns {
 		if t.ExpiresAt < now {
 			delete(m.turns, k)
--- a/statemachine/ledgersm/types.go
+++ b/statemachine/ledgersm/types.go
@@ -12,6 +12,7 @@
 	Reserve *Reserve      `msgpack:"r,omitempty"`
 	Settle  *Settle       `msgpack:"s,omitempty"`
 	Stream  *RecordStream `msgpack:"e,omitempty"`
+	Events  *AppendEvents `msgpack:"v,omitempty"`
 }
 
 // Reserve reserves tokens of a program's budget for a turn. It is idempotent: resending it with the
@@ -34,6 +35,10 @@
 	Stream *StreamRecord `msgpack:"e,omitempty"`
 	// AcceptsParts is set if the sender can read bodies of turns from store hosts.
 	AcceptsParts bool `msgpack:"c,omitempty"`
+	// Log is set if the turn will be kept and its stream can be resumed. The verdicts EventsUnknown and
+	// EventsMissing mean that the ledger does not hold the events of the stream that the turn resumes;
+	// nothing is reserved then.
+	Log *LogRequest `msgpack:"g,omitempty"`
 }
 
 // BodyRef refers to the body of a turn, its input and output, on store hosts.
@@ -58,6 +63,10 @@
 	Retention time.Duration `msgpack:"r"`
 	// StreamEnded is set if the whole stream has been sent to the caller.
 	StreamEnded bool `msgpack:"e,omitempty"`
+	// Log is the attempt that began the stream, from LogReply; empty: the stream has no log.
+	Log string `msgpack:"g,omitempty"`
+	// LogEvents is the number of events that the attempt has brought to that log.
+	LogEvents int `msgpack:"x,omitempty"`
 	// Body refers to the turn's input and output on store hosts; Input and Output are empty then.
 	Body *BodyRef `msgpack:"b,omitempty"`
 }
@@ -72,6 +81,8 @@
 	UnknownTurn             // the turn to continue is not stored
 	Malformed               // the command cannot be decoded
 	UnknownStream           // the source of the stream to resume is not known
+	EventsUnknown           // the events of the stream to resume are not known
+	EventsMissing           // the same, but they may follow
 )
 
 // Reply is the reply to a command.
@@ -83,6 +94,11 @@
 	Reserved int64 `msgpack:"r"`
 	// Source is the source of the stream that the attempt begins or resumes.
 	Source StreamSource `msgpack:"e"`
+	// Log is the log of the turn's stream.
+	Log *LogReply `msgpack:"g,omitempty"`
+	// Held answers an AppendEvents command: for each batch the number of events of its attempt that the log
+	// holds, or LogClosed.
+	Held []int `msgpack:"h,omitempty"`
 }
 
 // program is the budget of a program and its use.
