soak: resume turns that are kept, with events that differ

The soak had no route with keeps-history and resumable, and the events of its resumable streams were all alike, so it could not see that a resumed turn was kept without the events from before the resume.

Callers resume streams that break off, leave before the end, and leave out Resumes at times; the target of the next turn must receive what the caller has of all turns, byte for byte.

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -31,16 +31,23 @@
 	w.checkEvacuations(evacuations, byID)
 	w.checkResumes()
 	report.Resumed = w.resumes.asked
+	report.Joined = w.countJoined(byID)
 	report.CutOff = w.checkCuts(cuts, attempts)
 	report.Violations = w.violations
 }
 
+// isDraft reports whether the attempt's stream can be resumed.
+func (a *attempt) isDraft() bool { return a.kind == "draft" || a.kind == "talk" }
+
+// isKept reports whether the attempt is a turn that can be continued.
+func (a *attempt) isKept() bool { return a.kind == "chat" || a.kind == "talk" }
+
 // checkAttempt checks one attempt: a call other than a read runs at most once, and not at all
 // if it was refused; its organisation and body reach the target unchanged.
 func (w *workload) checkAttempt(a attempt) {
 	id, r := a.call.ID, a.result
 	runs := w.site.log.RunsOf(id)
-	repeatable := a.kind == "look" || a.kind == "draft"
+	repeatable := a.kind == "look" || a.isDraft()
 	if !repeatable && len(runs) > 1 {
 		w.recordViolation("RAN MORE THAN ONCE (TWICE): %s ran %d times", id, len(runs))
 	}
@@ -48,7 +55,7 @@
 	if refused && len(runs) > 0 && !repeatable {
 		w.recordViolation("RAN ALTHOUGH REFUSED (REFUSED): %s was answered with status %d but ran", id, r.Status)
 	}
-	if (r.Status == 401 || r.Status == 403 || r.Status == 400) || (r.Status == 404 && a.kind != "chat") {
+	if (r.Status == 401 || r.Status == 403 || r.Status == 400) || (r.Status == 404 && !a.isKept()) {
 		w.recordViolation("VALID REQUEST REJECTED: %s was answered with status %d", id, r.Status)
 	}
 	for _, run := range runs {
@@ -59,7 +66,7 @@
 			w.recordViolation("WRONG REQUEST BODY: %s ran with %d bytes, %.200q..., instead of %d, %.200q...", id, len(run.Body), run.Body, len(want), want)
 		}
 	}
-	if r.Status == 200 && r.Complete && a.kind != "draft" {
+	if r.Status == 200 && r.Complete && !a.isDraft() {
 		w.checkAnswer(a)
 	}
 }
@@ -94,7 +101,7 @@
 	completed := map[string]bool{}
 	n := 0
 	for _, a := range attempts {
-		if a.kind == "chat" && a.result.Status == 200 && a.result.Complete {
+		if a.isKept() && a.result.Status == 200 && a.result.Complete {
 			completed[a.call.ID] = true
 			n++
 		}
@@ -108,6 +115,17 @@
 	return n
 }
 
+// countJoined returns the number of attempts that a target has run and that continue from a turn whose stream
+// was resumed. checkAttempt has compared their histories.
+func (w *workload) countJoined(byID map[string]attempt) (n int) {
+	for id, a := range byID {
+		if byID[a.call.Previous].call.LastEvent > 0 && len(w.site.log.RunsOf(id)) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // checkBudgets checks that each program received at most its token budget plus one turn.
 func (w *workload) checkBudgets(attempts []attempt) {
 	tokens, budget := map[string]int{}, map[string]int{}
--- a/test/soak/link_cuts.go
+++ b/test/soak/link_cuts.go
@@ -68,7 +68,7 @@
 func (w *workload) checkCuts(cuts []linkCut, attempts []attempt) (judged int) {
 	var cutOff, others streamCount
 	for _, a := range attempts {
-		if !a.mustBeServed || a.result.Status == 429 || a.result.Status == 402 || a.call.LastEvent > 0 || refusedAsOverloaded(&a.result) {
+		if !a.mustBeServed || a.result.Status == 429 || a.result.Status == 402 || a.call.LastEvent > 0 || a.call.LeaveAfter > 0 || refusedAsOverloaded(&a.result) {
 			continue
 		}
 		served := a.result.Status == 200
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -34,6 +34,7 @@
 	Served     int
 	Turns      int
 	Resumed    int // streams that callers resumed while checkResumes counted them
+	Joined     int // turns that a target ran after a kept turn whose stream had been resumed
 	CutOff     int // requests at cut off gateways that checkCuts judged
 	ToStores   int // gateways that were told to send bodies of turns to store hosts, counted each time
 	Violations []string
@@ -42,8 +43,8 @@
 
 // Summary returns the report as a few lines of text.
 func (r *Report) Summary() string {
-	out := fmt.Sprintf("seed %d: %d faults, %d attempts, %d served, %d turns recorded, %d streams resumed, %d requests at cut off gateways, bodies to store hosts %d times, %d guarantees violated",
-		r.Seed, len(r.Faults), r.Attempts, r.Served, r.Turns, r.Resumed, r.CutOff, r.ToStores, len(r.Violations))
+	out := fmt.Sprintf("seed %d: %d faults, %d attempts, %d served, %d turns recorded, %d streams resumed, %d turns after resumed ones, %d requests at cut off gateways, bodies to store hosts %d times, %d guarantees violated",
+		r.Seed, len(r.Faults), r.Attempts, r.Served, r.Turns, r.Resumed, r.Joined, r.CutOff, r.ToStores, len(r.Violations))
 	if len(r.Violations) > 0 {
 		out += "\n  " + strings.Join(r.Violations, "\n  ") + "\n  faults: " + strings.Join(r.Faults, "; ") + "\n  logs: " + r.Logs
 	}
@@ -98,6 +99,9 @@
 		return nil, err
 	}
 	s.upgrading = opts.OldBin != ""
+	for _, h := range s.hosts {
+		h.previousBuild.Store(s.upgrading)
+	}
 	report := &Report{Seed: opts.Seed}
 	w := newWorkload(s)
 	if err := w.start(); err != nil {
--- a/test/soak/site.go
+++ b/test/soak/site.go
@@ -48,6 +48,8 @@
 	busy atomic.Bool
 	// lastDisturbed is when a fault last stopped or resumed the process, in Unix nanoseconds.
 	lastDisturbed atomic.Int64
+	// previousBuild is set until replaceBuild has replaced the program.
+	previousBuild atomic.Bool
 }
 
 func (h *host) address(port int) string { return net.JoinHostPort(h.bind, fmt.Sprint(port)) }
--- a/test/soak/upgrade.go
+++ b/test/soak/upgrade.go
@@ -45,6 +45,7 @@
 	_ = h.process.Stop(stopTimeout)
 	h.process.SetBinary(filepath.Join(bin, "figlb-"+h.kind))
 	_ = h.process.Start() // the checks detect a process that does not start
+	h.previousBuild.Store(false)
 	h.release()
 	return sleepContext(ctx, upgradePause)
 }
