gateway: accept a resumed stream whose rest is empty

Callers saw: a caller that had all events of a stream and lacked its end was answered 502 each time it resumed the stream, and the target counted as failed. A turn that is kept could not be continued then.

Cause: an end before the first byte of a stream was an error whatever the request. The answer was 502 ("invalid response: unexpected EOF") and the target had run it, so neither the ledger nor the target had refused.

Change: the rest of a resumed stream may be empty if the response has a length or chunks, which mark its end. Without them it is still rejected.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -256,6 +256,10 @@
 				return err
 			}
 		}
+		if rerr == io.EOF && out == nil && x.restIsEmpty(resp) {
+			begin()
+			out = x.newRelay(true)
+		}
 		switch {
 		case rerr == io.EOF && out == nil:
 			return io.ErrUnexpectedEOF
@@ -269,6 +273,12 @@
 	}
 }
 
+// restIsEmpty reports whether a stream without bytes is complete: its caller had all events and lacked the
+// end, and the target has marked the end.
+func (x *exchange) restIsEmpty(resp *upstream.Response) bool {
+	return x.resumes() && !resp.EndsWithConnection()
+}
+
 // copyLong relays a long response, of which head has been read. It returns the bytes taken from the target.
 func (x *exchange) copyLong(resp *upstream.Response, head []byte) (copied int64, err error) {
 	out := x.newRelay(false)
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -263,8 +263,9 @@
 	return u
 }
 
-// endsWithConnection reports whether a response has no framing, so that its body ends with the
-// connection.
+// EndsWithConnection reports whether the response has no framing, so that its body ends with the connection.
+func (r *Response) EndsWithConnection() bool { return endsWithConnection(r.Response) }
+
 func endsWithConnection(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
