--- a/statemachine/ledgersm/events_test.go
+++ b/statemachine/ledgersm/events_test.go
@@ -315,3 +315,29 @@
 		})
 	})
 }
+
+// BenchmarkAppendEvents measures the cost of the events of running streams to a member: one command with one
+// event of 180 bytes of each of 64 streams, encoded, decoded and applied.
+func BenchmarkAppendEvents(b *testing.B) {
+	RegisterTestingT(b)
+	const streams, textBytes = 64, 180
+	text := []byte(strings.Repeat("x", textBytes-1) + "\n")
+	m, now := New(), time.Duration(0)
+	for i := range b.N {
+		if i%100 == 0 { // streams of 100 events
+			m = New()
+			for s := range streams {
+				reserveLogged(m, now, fmt.Sprint("a", s), "", "")
+			}
+		}
+		c := &AppendEvents{}
+		for s := range streams {
+			name := fmt.Sprint("a", s)
+			c.Batches = append(c.Batches, EventBatch{Org: "acme", Origin: name, Attempt: name, First: i % 100, Events: []Event{{ID: strconv.Itoa(i % 100), Text: text}}})
+		}
+		if held := apply(m, now, Command{Events: c}).Held; held[streams-1] != i%100+1 {
+			b.Fatal("events were not appended: ", held)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/streams, "ns/event")
+}
