soak: demand relayed service only where a relay can be reached

Cause: a fault of the check. The soak had cut the internal port of the only gateway with direct connections to the targets, so the others had no relay. The gateways' logs show the relay's connections closed by that cut and no call that timed out, which rules out the load.

Change: a gateway counts as a relay of others only if its internal port was reachable for contactTime. What it has to serve itself is unchanged.

--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"slices"
 	"sync/atomic"
@@ -47,16 +48,29 @@
 }
 
 // mustServe reports whether a gateway has to serve requests that were sent at a given time: it was not
-// disturbed for contactTime before and since, and it or another such gateway reaches the targets.
+// disturbed for contactTime before and since, and it or another such gateway, which it can reach, reaches the
+// targets.
 func (s *site) mustServe(gateway *host, sent time.Time) bool {
-	if !gateway.calmSince(sent.Add(-contactTime)) {
+	since := sent.Add(-contactTime)
+	if !gateway.calmSince(since) {
 		return false
 	}
 	return slices.ContainsFunc(s.hostsOfKind("gateway"), func(h *host) bool {
-		return h.calmSince(sent.Add(-contactTime)) && h.links.Up()
+		reachable := h == gateway || h.partitionedUntil.Load() <= since.UnixNano()
+		return h.calmSince(since) && h.links.Up() && reachable
 	})
 }
 
+// partition cuts the connections that other processes have opened to the host. The returned function ends the cut.
+func (h *host) partition() (end func()) {
+	h.partitionedUntil.Store(math.MaxInt64)
+	h.relay.Cut(true)
+	return func() {
+		h.relay.Cut(false)
+		h.partitionedUntil.Store(time.Now().UnixNano())
+	}
+}
+
 // killHost kills the process of a random host, and with wipe deletes its data directory. The
 // returned function starts the process again.
 func (s *site) killHost(kind string, wipe bool) func() {
@@ -145,13 +159,13 @@
 		r.Delay(40 * time.Millisecond)
 		return func() { r.Delay(0) }
 	}},
-	{"partition a gateway from the other processes", func(s *site) func() { r := s.randomHost("gateway").relay; r.Cut(true); return func() { r.Cut(false) } }},
+	{"partition a gateway from the other processes", func(s *site) func() { return s.randomHost("gateway").partition() }},
 	{"reset a controller's connections", func(s *site) func() { s.randomHost("controller").relay.Reset(); return nil }},
 	{"wipe a controller's disk", func(s *site) func() { return s.killHost("controller", true) }},
 	{"kill a store", func(s *site) func() { return s.killHost("store", false) }},
 	{"freeze a store", func(s *site) func() { return s.freezeHost("store") }},
 	{"wipe a store's disk", func(s *site) func() { return s.killHost("store", true) }},
-	{"partition a store", func(s *site) func() { r := s.randomHost("store").relay; r.Cut(true); return func() { r.Cut(false) } }},
+	{"partition a store", func(s *site) func() { return s.randomHost("store").partition() }},
 	{"stop a gateway", func(s *site) func() { s.restartGateway(); return nil }},
 	{"reload a gateway's settings", func(s *site) func() { s.randomHost("gateway").process.Signal(syscall.SIGHUP); return nil }},
 	{"kill all controllers", func(s *site) func() { return s.killAll("controller") }},
--- a/test/soak/site.go
+++ b/test/soak/site.go
@@ -48,6 +48,9 @@
 	busy atomic.Bool
 	// lastDisturbed is when a fault last stopped or resumed the process, in Unix nanoseconds.
 	lastDisturbed atomic.Int64
+	// partitionedUntil is when the host last could not be reached by the other processes, in Unix nanoseconds;
+	// the largest number while it cannot.
+	partitionedUntil atomic.Int64
 	// previousBuild is set until replaceBuild has replaced the program.
 	previousBuild atomic.Bool
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/figlb/figlb/internal/testsite"
 )
 
 // regressionSeeds are seeds that once failed:
@@ -32,6 +34,30 @@
 	g.Expect(second).NotTo(Equal(first))
 }
 
+// Guards against demands on a gateway that is cut off from the targets while the other processes cannot reach the
+// only gateway that is not: seeds 7307 and 7312 failed so. As soon as that one can be reached, the demand stands.
+func TestCutOffGatewayMustServeOnlyIfItReachesARelay(t *testing.T) {
+	g := NewWithT(t)
+	s := &site{}
+	for range 2 {
+		links, err := testsite.NewProxy()
+		g.Expect(err).NotTo(HaveOccurred())
+		defer links.Close()
+		relay, err := testsite.NewRelay("127.0.0.1:1")
+		g.Expect(err).NotTo(HaveOccurred())
+		defer relay.Close()
+		s.hosts = append(s.hosts, &host{kind: "gateway", links: links, relay: relay})
+	}
+	cutOff, other := s.hosts[0], s.hosts[1]
+	cutOff.links.Set(testsite.LinksReset)
+	end := other.partition()
+	g.Expect(s.mustServe(cutOff, time.Now())).To(BeFalse())
+	g.Expect(s.mustServe(other, time.Now())).To(BeTrue(), "its own connections are not cut")
+	end()
+	g.Expect(s.mustServe(cutOff, time.Now())).To(BeFalse(), "it needs time to find the other again")
+	g.Expect(s.mustServe(cutOff, time.Now().Add(contactTime+time.Second))).To(BeTrue())
+}
+
 // Guards against violated guarantees while processes are killed, frozen, cut off and restarted.
 // The checks are in check.go, key_rotation.go, long_turns.go, target_faults.go, target_limits.go,
 // workload.go, zone_orders.go and run.go.
