soak: leave out Resumes only where the program finds the stream

A resumable stream that belongs to no turn is found by its attempt alone, so a caller that leaves it out is refused as documented. Counting these refusals would have let checkResumes pass with fewer resumes served.

--- a/test/soak/drafts.go
+++ b/test/soak/drafts.go
@@ -23,8 +23,8 @@
 	contactTime = 3 * time.Second
 	// talkTurns is the number of turns of a program whose turns are kept and can be resumed.
 	talkTurns = 3
-	// One in so many callers leaves before the end of its stream, and one in so many does not name the attempt
-	// that it resumes.
+	// One in so many callers leaves before the end of its stream, and one in so many turns that are kept does
+	// not name the attempt that it resumes.
 	leaveOneIn, unnamedOneIn = 4, 5
 	// minResumes is the number of resumed streams from which checkResumes judges.
 	minResumes = 12
@@ -76,6 +76,7 @@
 	}
 }
 
+// setProgram makes the attempt a turn of a program.
 func (a *attempt) setProgram(id string) {
 	a.call.Program, a.call.Budget, a.call.MaxTokens = "p-"+id, longProgramBudget, standin.DraftEvents*standin.EventTokens
 }
@@ -108,7 +109,7 @@
 		a := request
 		a.call.ID = fmt.Sprintf("%s-%d", request.call.ID, try)
 		a.call.EventPause, a.call.LastEvent, a.call.Resumes = pause, d.last, d.origin
-		if rng.Intn(unnamedOneIn) == 0 {
+		if a.kind == "talk" && rng.Intn(unnamedOneIn) == 0 { // others are found by their attempt only
 			a.call.Resumes = ""
 		}
 		if rng.Intn(leaveOneIn) == 0 {
