--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -20,13 +20,15 @@
 trap 'rm -f "$platform_log"' EXIT
 go test -race -timeout 8m ./platform ${red_specs:+-ginkgo.skip "$red_specs"} >"$platform_log" 2>&1 &
 platform=$!
-go test -race -timeout 8m ${red_tests:+-skip "$red_tests"} $(go list ./... | grep -v -e /test/e2e -e /test/crowd -e '/platform$') || failed=1
+go test -race -timeout 8m ${red_tests:+-skip "$red_tests"} $(go list ./... | grep -v -e /test/e2e -e /test/crowd -e /test/deploy -e '/platform$') || failed=1
 wait "$platform" || failed=1
 cat "$platform_log"
 [ -z "${failed:-}" ] || exit 1
 # Fuzzes the parser of targets' responses with malformed bytes: the inputs of the seed corpus, and
 # newly generated ones: a number of them, since a limit by time may itself end as a failure (Go 1.26).
 go test ./gateway/upstream -run "^$" -fuzz FuzzReadAnswer -fuzztime 200000x
+# Runs the build of the deploy file in copies of the repository, beside no test that measures times.
+go test -count=1 -timeout 15m ./test/deploy
 go tool ginkgo -procs=4 --no-color --timeout 8m ./test/e2e
 # These measure the memory and the descriptors of a process, so nothing else runs beside them.
 go test -count=1 -timeout 15m ./test/crowd ${red_crowds:+-skip "^($red_crowds)\$"}
