wal: a loss of power may undo removals in part

Cause: covered segments are removed oldest first without a sync of the directory, and each removal may be undone independently; wal.Open took a gap for damage.

An empty record is a torn write. A start syncs the directories it relies on. Reset discards a directory file by file; one without an identity is reset before it is opened. No sync before an acknowledgement is added, formats are unchanged.

--- a/bodystore/disk_test.go
+++ b/bodystore/disk_test.go
@@ -160,3 +160,22 @@
 		return os.WriteFile(path, data, 0o644)
 	})
 }
+
+// unsyncedFS is the file system without syncs, which would only take time.
+type unsyncedFS struct{ wal.OS }
+
+type unsyncedFile struct{ wal.File }
+
+func (unsyncedFile) Sync() error { return nil }
+
+func (f unsyncedFS) Create(path string) (wal.File, error) {
+	file, err := f.OS.Create(path)
+	return unsyncedFile{file}, err
+}
+
+func (f unsyncedFS) Append(path string) (wal.File, error) {
+	file, err := f.OS.Append(path)
+	return unsyncedFile{file}, err
+}
+
+func (unsyncedFS) SyncDir(string) error { return nil }
--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -64,3 +66,25 @@
 		Expect(largest).To(BeNumerically("<", disk))
 	})
 })
+
+var _ = Describe("a directory without an identity", func() {
+	// Guards against a member that never starts again, or that takes over foreign entries, after a loss of power
+	// while it discarded its directory: some of the files are back, the identity is gone.
+	It("starts as an empty one", func() {
+		c := startCluster(1, func(cfg *Config) { cfg.SegmentBytes = 2 << 10 })
+		for i := range 100 {
+			c.propose(fmt.Sprint(i, strings.Repeat("x", 200)))
+		}
+		nd := c.nodes[0]
+		nd.stop()
+		segments, err := filepath.Glob(filepath.Join(nd.dir, "log", "*"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(segments)).To(BeNumerically(">", 3))
+		Expect(os.Remove(segments[1])).To(Succeed())
+		Expect(os.Remove(filepath.Join(nd.dir, "identity"))).To(Succeed())
+		nd.start()
+		c.waitVoters(1)
+		c.propose("first")
+		Expect(nd.sm.all()).To(Equal([]string{"first"}))
+	})
+})
--- a/replica/incarnation.go
+++ b/replica/incarnation.go
@@ -4,8 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -49,8 +47,8 @@
 		return nil, errors.Errorf("data directory %s belongs to member %q, not %q; use another directory",
 			r.cfg.DataDir, id.Member, r.cfg.ID)
 	}
-	if known && id.Cluster == 0 {
-		// The process ended before the member joined or created a cluster.
+	if !known || id.Cluster == 0 {
+		// The process ended before the member joined or created a cluster, or while it discarded the directory.
 		if err := r.wipeDataDir(); err != nil {
 			return nil, err
 		}
@@ -220,28 +218,11 @@
 	go inc.r.replaceIncarnation(inc)
 }
 
-// wipeDataDir removes the content of the data directory. The identity is removed first, so
-// that the remaining files count as an empty directory after a crash.
+// wipeDataDir removes what a member keeps in its data directory.
 func (r *Replica) wipeDataDir() error {
 	fs := r.cfg.FS
 	if fs == nil {
 		fs = wal.OS{}
 	}
-	err := os.Remove(filepath.Join(r.cfg.DataDir, "identity"))
-	if err != nil && !os.IsNotExist(err) {
-		return errors.WithStack(err)
-	}
-	if err := fs.SyncDir(r.cfg.DataDir); err != nil {
-		return errors.WithStack(err)
-	}
-	entries, err := os.ReadDir(r.cfg.DataDir)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	for _, e := range entries {
-		if err := os.RemoveAll(filepath.Join(r.cfg.DataDir, e.Name())); err != nil {
-			return errors.WithStack(err)
-		}
-	}
-	return errors.WithStack(fs.SyncDir(r.cfg.DataDir))
+	return wal.Reset(r.cfg.DataDir, fs)
 }
--- a/wal/fs.go
+++ b/wal/fs.go
@@ -92,12 +92,9 @@
 	return errors.WithStack(fs.SyncDir(filepath.Dir(path)))
 }
 
-// makeDir creates a directory unless it exists, and makes its entry in the parent directory
-// durable.
+// makeDir creates a directory unless it exists, and makes its entry in the parent directory durable. A directory that
+// exists may have been made by a process that was killed before it synced the parent.
 func makeDir(fs FS, path string) error {
-	if _, err := os.Stat(path); err == nil {
-		return nil
-	}
 	if err := os.MkdirAll(path, dirMode); err != nil {
 		return errors.WithStack(err)
 	}
--- a/wal/log.go
+++ b/wal/log.go
@@ -87,14 +87,18 @@
 		l.segments = l.segments[:len(l.segments)-1]
 		return l.createSegment(seq)
 	}
-	f, err := l.fs.Append(l.segmentPath(l.currentSegment().seq))
+	path := l.segmentPath(l.currentSegment().seq)
+	f, err := l.fs.Append(path)
 	if err != nil {
 		return errors.WithStack(err)
 	}
 	l.file = f
 	// If only the process ended and not the host, the data that was read may be in the page
-	// cache and not yet on disk.
-	return errors.WithStack(f.Sync())
+	// cache and not yet on disk, and so may the name of the file.
+	if err := f.Sync(); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(l.fs.SyncDir(filepath.Dir(path)))
 }
 
 // createSegment creates a segment whose header holds the state of all groups, and makes it
@@ -317,7 +321,8 @@
 }
 
 // removeCoveredSegments deletes the oldest segments as long as snapshots cover all their
-// entries in all groups. The current segment is kept.
+// entries in all groups. The current segment is kept. The directory is not synced, so a loss of power may undo any of
+// the removals; findSegments expects that.
 func (l *Log) removeCoveredSegments() error {
 	for {
 		l.segMu.Lock()
--- a/wal/open.go
+++ b/wal/open.go
@@ -64,13 +64,20 @@
 	if err := l.removeTemporaryFiles(); err != nil {
 		return nil, nil, err
 	}
-	groups, err := l.replay()
+	found, err := l.findSegments()
+	if err != nil {
+		return nil, nil, err
+	}
+	groups, err := l.replay(found)
 	if err != nil {
 		return nil, nil, err
 	}
 	if err := l.loadSnapshots(groups); err != nil {
 		return nil, nil, err
 	}
+	if err := l.removeSegments(found.obsolete); err != nil {
+		return nil, nil, err
+	}
 	if err := l.start(groups); err != nil {
 		return nil, nil, err
 	}
@@ -97,29 +104,89 @@
 	return filepath.Join(l.dir, segmentDir, fmt.Sprintf("%016x%s", seq, segmentSuffix))
 }
 
-// replay reads all segments in order.
-func (l *Log) replay() (map[uint32]*GroupState, error) {
+// foundSegments holds the sequence numbers of the segments in the directory.
+//
+// Segments are removed oldest first, and a loss of power may undo any of the removals since the last sync of the
+// directory. Segments before a gap are therefore ones whose removal was undone: all up to the gap had been removed, as
+// snapshots covered them. If the gap is damage instead, the entries in it are missing after the replay.
+type foundSegments struct {
+	obsolete []uint64 // before a gap
+	log      []uint64 // without a gap
+}
+
+// lastMissing returns the number of the last segment that is missing before the log, or 0 if none is.
+func (f *foundSegments) lastMissing() uint64 {
+	if len(f.log) == 0 {
+		return 0
+	}
+	return f.log[0] - 1
+}
+
+// findSegments lists the segments.
+func (l *Log) findSegments() (*foundSegments, error) {
 	names, err := listFiles(filepath.Join(l.dir, segmentDir), segmentSuffix)
 	if err != nil {
 		return nil, err
 	}
-	groups := map[uint32]*GroupState{}
-	for i, name := range names {
+	found := &foundSegments{}
+	for _, name := range names {
 		var seq uint64
 		if _, err := fmt.Sscanf(name, "%016x"+segmentSuffix, &seq); err != nil {
 			return nil, errors.Errorf("unexpected file %s in the log directory", name)
 		}
-		if i > 0 && seq != l.currentSegment().seq+1 {
-			return nil, damagedError(l.segmentPath(l.currentSegment().seq+1), errors.New("the segment is missing"))
+		if n := len(found.log); n > 0 && seq != found.log[n-1]+1 {
+			found.obsolete = append(found.obsolete, found.log...)
+			found.log = nil
 		}
+		found.log = append(found.log, seq)
+	}
+	return found, nil
+}
+
+// replay reads the segments of the log in order.
+func (l *Log) replay(found *foundSegments) (map[uint32]*GroupState, error) {
+	groups := map[uint32]*GroupState{}
+	for i, seq := range found.log {
 		l.segments = append(l.segments, &segment{seq: seq, lastIndex: map[uint32]uint64{}})
-		if err := l.replaySegment(groups, i == len(names)-1); err != nil {
+		if err := l.replaySegment(groups, i == len(found.log)-1); err != nil {
 			return nil, err
 		}
 	}
+	if missing := found.lastMissing(); missing > 0 {
+		if err := checkNothingMissing(groups); err != nil {
+			return nil, damagedError(l.segmentPath(missing), errors.Wrap(err, "the segment is missing"))
+		}
+	}
 	return groups, nil
 }
 
+// checkNothingMissing returns an error if entries that no snapshot covers were in segments that are gone.
+func checkNothingMissing(groups map[uint32]*GroupState) error {
+	for id, g := range groups {
+		if err := g.checkContinuity(); err != nil {
+			return errors.Wrapf(err, "group %d", id)
+		}
+		last := g.snapshotPosition.Index + uint64(len(g.Entries))
+		if g.Hard.Commit > last {
+			return errors.Errorf("group %d: entry %d was committed and the log ends with entry %d", id, g.Hard.Commit, last)
+		}
+	}
+	return nil
+}
+
+// removeSegments deletes segments durably.
+func (l *Log) removeSegments(seqs []uint64) error {
+	for _, seq := range seqs {
+		if err := l.fs.Remove(l.segmentPath(seq)); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	if len(seqs) == 0 {
+		return nil
+	}
+	return errors.WithStack(l.fs.SyncDir(filepath.Join(l.dir, segmentDir)))
+}
+
 // replaySegment reads the current segment. If it is the last one, a torn write at its end is
 // truncated.
 func (l *Log) replaySegment(groups map[uint32]*GroupState, isLast bool) error {
--- a/wal/record.go
+++ b/wal/record.go
@@ -73,6 +73,10 @@
 	}
 	n := binary.BigEndian.Uint32(data)
 	sum := binary.BigEndian.Uint32(data[4:])
+	if n == 0 {
+		// Eight zero bytes, as an unsynced write may leave them, have a valid checksum. No record is empty.
+		return nil, nil, errors.Wrap(errBadRecord, "empty record")
+	}
 	data = data[recordHeaderBytes:]
 	if uint64(n) > uint64(len(data)) {
 		return nil, nil, errors.Wrap(errBadRecord, "incomplete record payload")
--- a/wal/snapshot.go
+++ b/wal/snapshot.go
@@ -84,21 +84,37 @@
 	return n
 }
 
-// RemoveOldSnapshots deletes all but the latest snapshot files of a group, and the chunks that
-// none of the remaining snapshots refers to.
+// RemoveOldSnapshots deletes all but the latest snapshot files of a group and the one in force, and the chunks that
+// none of the remaining snapshots refers to. Later snapshots than the one in force are left by processes that ended
+// before they put them in force.
 func (l *Log) RemoveOldSnapshots(group uint32) error {
 	defer l.lockSnapshots(group)()
 	indexes, err := l.snapshotIndexes(group)
 	if err != nil {
 		return err
 	}
-	for len(indexes) > retainedSnapshots {
-		if err := l.fs.Remove(l.snapshotPath(group, indexes[0])); err != nil {
+	inForce := l.snapshotInForce(group)
+	var retained []uint64
+	for i, index := range indexes {
+		if index == inForce || i >= len(indexes)-retainedSnapshots {
+			retained = append(retained, index)
+			continue
+		}
+		if err := l.fs.Remove(l.snapshotPath(group, index)); err != nil {
 			return errors.WithStack(err)
 		}
-		indexes = indexes[1:]
 	}
-	return l.removeOldChunks(group, indexes)
+	return l.removeOldChunks(group, retained)
+}
+
+// snapshotInForce returns the index of the snapshot from which a group is restored, or 0 if there is none.
+func (l *Log) snapshotInForce(group uint32) uint64 {
+	l.segMu.Lock()
+	defer l.segMu.Unlock()
+	if r := l.groupRecords[group]; r != nil {
+		return r.Snapshot.Index
+	}
+	return 0
 }
 
 // snapshotIndexes returns the indexes of the stored snapshots of a group in ascending order.
--- a/wal/snapshot_test.go
+++ b/wal/snapshot_test.go
@@ -92,6 +92,20 @@
 		Expect(string(data)).To(Equal("three second chunk"))
 	})
 
+	// Guards against removing the snapshot that the log refers to, because processes that were killed have left
+	// later ones which were not put in force.
+	It("keeps the snapshot in force", func() {
+		save(2, "one ", a)
+		Expect(appendSynced(l, Record{Group: 1, Snapshot: &SnapshotPosition{Index: 2, Term: 1}})).To(Succeed())
+		save(3, "two ", b)
+		save(4, "three ", b)
+		Expect(l.RemoveOldSnapshots(1)).To(Succeed())
+		l.Abandon()
+		_, groups, err := Open(dir, Options{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(groups[1].SnapshotData)).To(HavePrefix("one first chunk"))
+	})
+
 	// Guards against restoring state from a damaged or missing chunk.
 	DescribeTable("is rejected", func(damage func(path string) error, wantError string) {
 		save(2, "head ", a, b)
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -160,6 +160,24 @@
 	)
 })
 
+var _ = Describe("A log without its first segments", func() {
+	// Guards against a lost segment that is taken for a removed one, because the group that needs it has no
+	// entry in those that are left.
+	It("is damaged if it ends before an entry that was committed", func() {
+		dir := GinkgoT().TempDir()
+		l, _ := openLog(dir)
+		appendEntries(l, 2, 1, 3)
+		Expect(appendSynced(l, Record{Group: 2, Hard: &raft.HardState{Term: 1, Commit: 3}})).To(Succeed())
+		Expect(l.SaveSnapshot(1, raft.SnapshotMeta{Index: 40, Term: 1}, snapshot.Snapshot{Head: []byte("state")})).To(Succeed())
+		appendEntries(l, 1, 1, 60)
+		Expect(appendSynced(l, Record{Group: 1, Snapshot: &SnapshotPosition{Index: 40, Term: 1}})).To(Succeed())
+		l.Abandon()
+		Expect(os.Remove(segmentFiles(dir)[0])).To(Succeed())
+		_, _, err := Open(dir, Options{SegmentBytes: testSegmentBytes})
+		Expect(err).To(MatchError(And(ContainSubstring("segment is missing"), ContainSubstring("discard the data directory"))))
+	})
+})
+
 func lastSegmentFile(dir string) string {
 	s := segmentFiles(dir)
 	return s[len(s)-1]
