controller, wal: logs tell a slow disk, and a list that was never read

Seen: turns refused with "the ledger did not respond" looked alike for a slow disk and for a group without a leader; and "cannot read the list of targets; keeping the last one" named an age of 273,734 ms 0.5 s after the start of the process.

Cause: no line told how long a sync took; the age of a list that was never read was counted from the start of the clock.

A first read that fails says so and names no age.

Result: TestFailedFirstReadNamesNoAge failed before (the line had age_ms) and passes; the spec "A slow sync is reported" passes.

--- a/controller/targets.go
+++ b/controller/targets.go
@@ -34,7 +34,7 @@
 // targetList is the last list of targets that this member has read.
 type targetList struct {
 	mu        sync.Mutex
-	readAt    time.Duration
+	readAt    time.Duration  // clock time; 0: never
 	term      uint64         // in which this member led when it read the list; 0 if it did not lead
 	failing   bool           // the last read has failed
 	changedAt time.Duration  // when a read last showed a change
@@ -92,7 +92,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
-		if !l.failing {
+		switch {
+		case l.failing:
+		case l.readAt == 0:
+			s.log.Info("cannot read the list of targets; none has been read yet", "error", err.Error())
+		default:
 			s.log.Info("cannot read the list of targets; keeping the last one", "error", err.Error(), "age_ms", (at - l.readAt).Milliseconds())
 		}
 		l.failing = true
--- a/controller/targets_test.go
+++ b/controller/targets_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
@@ -117,6 +118,16 @@
 	}
 }
 
+// Guards against a log line with an age of a list that has never been read: it named the age of the host.
+func TestFailedFirstReadNamesNoAge(t *testing.T) {
+	g := NewWithT(t)
+	var lines []string
+	log := funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
+	s := New(Options{Node: &electedNode{}, Lister: failingLister{}, Log: log})
+	s.readTargets(context.Background(), 2)
+	g.Expect(lines).To(ConsistOf(And(ContainSubstring("none has been read yet"), Not(ContainSubstring("age_ms")))))
+}
+
 // Guards against a failed read that discards the list.
 func TestTargetListKeptAfterFailedRead(t *testing.T) {
 	g := NewWithT(t)
--- a/replica/incarnation.go
+++ b/replica/incarnation.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -54,7 +55,10 @@
 		}
 		known = false
 	}
-	log, states, err := wal.Open(r.cfg.DataDir, wal.Options{SegmentBytes: r.cfg.SegmentBytes, FS: r.cfg.FS})
+	log, states, err := wal.Open(r.cfg.DataDir, wal.Options{
+		SegmentBytes: r.cfg.SegmentBytes, FS: r.cfg.FS,
+		OnSlowSync: func(took time.Duration) { r.log.Info("slow sync of the log", "took_ms", took.Milliseconds()) },
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/wal/log.go
+++ b/wal/log.go
@@ -3,6 +3,7 @@
 import (
 	"path/filepath"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -46,6 +47,9 @@
 	done func(error)
 }
 
+// slowSync is the time from which a sync is reported. Callers of the ledger give up after 1.5 s.
+const slowSync = 500 * time.Millisecond
+
 var errClosed = errors.New("the log is closed")
 
 func newLog(dir string, opt Options) *Log {
@@ -263,7 +267,7 @@
 		l.size += int64(len(buf))
 	}
 	if sync {
-		if err := l.file.Sync(); err != nil {
+		if err := l.syncFile(); err != nil {
 			return errors.Wrap(err, "sync the log")
 		}
 	}
@@ -274,6 +278,16 @@
 	return nil
 }
 
+// syncFile syncs the current segment and reports a slow sync.
+func (l *Log) syncFile() error {
+	began := time.Now()
+	err := l.file.Sync()
+	if took := time.Since(began); took >= slowSync && l.opt.OnSlowSync != nil {
+		l.opt.OnSlowSync(took)
+	}
+	return err
+}
+
 func (l *Log) updateStats(records int, sync bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/wal/open.go
+++ b/wal/open.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -23,6 +24,9 @@
 	SegmentBytes int64
 	// FS defaults to OS.
 	FS FS
+	// OnSlowSync, if set, is called after a sync of appended records that took half a second or longer. It must not
+	// block.
+	OnSlowSync func(took time.Duration)
 }
 
 const defaultSegmentBytes = 64 << 20
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -265,6 +266,39 @@
 	)
 })
 
+// slowFS takes a time for each sync of a file.
+type slowFS struct {
+	OS
+	sync time.Duration
+}
+
+type slowFile struct {
+	File
+	sync time.Duration
+}
+
+func (f slowFS) Create(path string) (File, error) {
+	file, err := f.OS.Create(path)
+	return slowFile{file, f.sync}, err
+}
+
+func (f slowFile) Sync() error {
+	time.Sleep(f.sync)
+	return f.File.Sync()
+}
+
+var _ = Describe("A slow sync", func() {
+	// Guards against a slow disk that the logs don't tell from a group without a leader.
+	It("is reported", func() {
+		var reported atomic.Int64
+		l, _, err := Open(GinkgoT().TempDir(), Options{FS: slowFS{sync: slowSync}, OnSlowSync: func(took time.Duration) { reported.Store(int64(took)) }})
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Abandon()
+		Expect(appendSynced(l, Record{Group: 1, Entries: []raft.Entry{testEntry(1, 1)}})).To(Succeed())
+		Expect(reported.Load()).To(BeNumerically(">=", slowSync))
+	})
+})
+
 var _ = Describe("Concurrent appends", func() {
 	It("share syncs (guards against one sync per command)", func() {
 		l, _ := openLog(GinkgoT().TempDir())
