--- a/controller/targets.go
+++ b/controller/targets.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -113,13 +114,27 @@
 	s.limits.retain(targets)
 }
 
-// sortUnique sorts targets by id and keeps the last entry of each id.
+// sortUnique sorts targets by id and keeps one entry of each id: that of the latest start, of these one that is
+// draining, and of these the last.
 func sortUnique(targets []fleet.Target) []fleet.Target {
 	slices.Reverse(targets)
-	slices.SortStableFunc(targets, func(a, b fleet.Target) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortStableFunc(targets, func(a, b fleet.Target) int {
+		return cmp.Or(strings.Compare(a.ID, b.ID), cmp.Compare(b.StartedAt, a.StartedAt), compareDraining(b, a))
+	})
 	return slices.CompactFunc(targets, func(a, b fleet.Target) bool { return a.ID == b.ID })
 }
 
+// compareDraining orders targets that are not draining before those that are.
+func compareDraining(a, b fleet.Target) int {
+	switch {
+	case a.Draining == b.Draining:
+		return 0
+	case b.Draining:
+		return -1
+	}
+	return 1
+}
+
 // replace stores a list that was read at the given time and term.
 func (l *targetList) replace(at time.Duration, term uint64, targets []fleet.Target) {
 	l.cold.update(at, targets)
--- a/controller/targets_test.go
+++ b/controller/targets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -118,6 +119,25 @@
 	}
 }
 
+// Guards against an entry of an earlier start, or one that hides that its target is draining, in place of the one that
+// holds.
+func TestOneEntryForEachTarget(t *testing.T) {
+	entry := func(born int64, draining bool, slots int) fleet.Target {
+		return fleet.Target{ID: "t1", StartedAt: born, Draining: draining, Slots: slots}
+	}
+	old, young, leaving, later := entry(1, true, 1), entry(2, false, 2), entry(2, true, 3), entry(2, false, 4)
+	for _, c := range []struct{ entries, want []fleet.Target }{
+		{[]fleet.Target{young, old}, []fleet.Target{young}},
+		{[]fleet.Target{old, young}, []fleet.Target{young}},
+		{[]fleet.Target{leaving, young}, []fleet.Target{leaving}},
+		{[]fleet.Target{young, leaving}, []fleet.Target{leaving}},
+		{[]fleet.Target{young, later}, []fleet.Target{later}},
+		{[]fleet.Target{{ID: "t2"}, old}, []fleet.Target{old, {ID: "t2"}}},
+	} {
+		NewWithT(t).Expect(sortUnique(slices.Clone(c.entries))).To(Equal(c.want), "%v", c.entries)
+	}
+}
+
 // Guards against a log line with an age of a list that has never been read: it named the age of the host.
 func TestFailedFirstReadNamesNoAge(t *testing.T) {
 	g := NewWithT(t)
