gateway: bound the calls that hold events of one stream

Cause: since events no longer wait for the reply to those before, each of up to 16 calls repeats the unconfirmed events of a stream; a stream of 1 MB would be held 16 times while the ledger does not respond.

--- a/gateway/eventlog.go
+++ b/gateway/eventlog.go
@@ -20,6 +20,9 @@
 	// maxAppendCalls bounds the concurrent calls that append events. Further events wait for the end of one and
 	// then share the next. With commits of 150 ms, two streams of 46 ms between events stay below it.
 	maxAppendCalls = 16
+	// maxStreamCalls bounds the concurrent calls with events of one stream, each of which repeats the unconfirmed
+	// events of those before. It bounds the memory of a long stream while the ledger does not respond.
+	maxStreamCalls = 4
 	// maxAppendBytes is the size of the events from which a call takes no more streams.
 	maxAppendBytes = 128 << 10
 	// appendTimeout bounds a call.
@@ -106,6 +109,7 @@
 	held        int              // number of events that the ledger has confirmed
 	sent        int              // number of events that are confirmed or in a call
 	unconfirmed []ledgersm.Event // those after held
+	calls       int              // in progress
 	queued      bool             // is in logs.waiting
 	dropped     bool             // takes no more events
 }
@@ -148,7 +152,7 @@
 
 // enqueue has the unsent events of a stream sent with the next call. The caller holds mu.
 func (l *eventLogs) enqueue(e *eventLog) {
-	if e.queued || e.dropped || e.sent == e.added {
+	if e.queued || e.dropped || e.sent == e.added || e.calls >= maxStreamCalls {
 		return
 	}
 	e.queued = true
@@ -173,6 +177,7 @@
 		e := l.waiting[0]
 		l.waiting = l.waiting[1:]
 		e.queued, e.sent = false, e.added
+		e.calls++
 		batch := ledgersm.EventBatch{Org: e.org, Origin: e.origin, Attempt: e.attempt, First: e.held, Events: e.unconfirmed}
 		size += batch.Bytes()
 		c.streams, c.req.Batches = append(c.streams, e), append(c.req.Batches, batch)
@@ -196,6 +201,7 @@
 	defer l.mu.Unlock()
 	now := clock.Now()
 	for i, e := range c.streams {
+		e.calls--
 		if err == nil {
 			e.confirm(&c.req.Batches[i], reply.Held[i])
 		} else {
