wal, bodystore: one way to make a durable directory

Cause: the controller made its data directory itself and nobody synced the parent; the start that syncs the parent of each directory would have failed below a parent that the process may not read. Change: wal.MakeDir makes and syncs the directories of the log and of the store host's bodies. A directory that exists below an unreadable parent was made by another user and is used.

--- a/bodystore/load.go
+++ b/bodystore/load.go
@@ -9,6 +9,8 @@
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
+
+	"github.com/figlb/figlb/wal"
 )
 
 const incarnationFile = "incarnation"
@@ -44,12 +46,9 @@
 
 // makeDirs creates the directories and makes their entries durable.
 func (s *Store) makeDirs() error {
-	if err := os.MkdirAll(s.segmentDir(), 0o755); err != nil {
-		return errors.WithStack(err)
-	}
-	for _, dir := range []string{filepath.Dir(s.opt.Dir), s.opt.Dir} {
-		if err := s.opt.FS.SyncDir(dir); err != nil {
-			return errors.WithStack(err)
+	for _, dir := range []string{s.opt.Dir, s.segmentDir()} {
+		if err := wal.MakeDir(s.opt.FS, dir); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/cmd/figlb-controller/main.go
+++ b/cmd/figlb-controller/main.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"os"
 	"slices"
 	"time"
 
@@ -105,9 +104,6 @@
 	for i, s := range p.Host.Seeds {
 		seeds[i] = settings.Member{ID: s, Address: s}
 	}
-	if err := os.MkdirAll(p.Host.DataDir, 0o755); err != nil {
-		return nil, errors.Wrap(err, "create data directory")
-	}
 	return replica.Start(replica.Config{
 		ID: self, Zone: p.Host.Zone, Members: seeds,
 		Discovery: &replica.Discovery{MaxVoters: maxVoters, ReplaceAfter: replaceAfter},
--- a/wal/fs.go
+++ b/wal/fs.go
@@ -92,13 +92,20 @@
 	return errors.WithStack(fs.SyncDir(filepath.Dir(path)))
 }
 
-// makeDir creates a directory unless it exists, and makes its entry in the parent directory durable. A directory that
-// exists may have been made by a process that was killed before it synced the parent.
-func makeDir(fs FS, path string) error {
+// MakeDir creates a directory unless it exists, and makes its entry in the parent directory durable. A directory that
+// exists may have been made by a process that was killed before it synced the parent; if this process may not read the
+// parent, another user has made the directory.
+func MakeDir(fs FS, path string) error {
+	_, err := os.Stat(path)
+	existed := err == nil
 	if err := os.MkdirAll(path, dirMode); err != nil {
 		return errors.WithStack(err)
 	}
-	return errors.WithStack(fs.SyncDir(filepath.Dir(path)))
+	err = fs.SyncDir(filepath.Dir(path))
+	if existed && os.IsPermission(err) {
+		return nil
+	}
+	return errors.WithStack(err)
 }
 
 // listFiles returns the sorted names of the files in a directory whose extension is suffix.
--- a/wal/open.go
+++ b/wal/open.go
@@ -61,7 +61,7 @@
 	}
 	l := newLog(dir, opt)
 	for _, d := range []string{dir, filepath.Join(dir, segmentDir), filepath.Join(dir, snapshotDir)} {
-		if err := makeDir(l.fs, d); err != nil {
+		if err := MakeDir(l.fs, d); err != nil {
 			return nil, nil, err
 		}
 	}
--- a/wal/powerloss_test.go
+++ b/wal/powerloss_test.go
@@ -287,15 +287,33 @@
 		log.Abandon()
 		Expect(fs.dirs).To(ContainElements(parent, dir, filepath.Join(dir, "log")))
 	})
+
+	// Guards against a member that does not start in a directory that was made for it, below one that it may not
+	// read.
+	It("a log opens below a directory that can't be read", func() {
+		parent := GinkgoT().TempDir()
+		fs := &syncedDirs{denied: parent}
+		_, _, err := wal.Open(filepath.Join(parent, "new"), wal.Options{FS: fs})
+		Expect(err).To(MatchError(os.ErrPermission), "its own directory would not be durable")
+		dir := filepath.Join(parent, "data")
+		Expect(os.MkdirAll(dir, 0o755)).To(Succeed())
+		log, _, err := wal.Open(dir, wal.Options{FS: fs})
+		Expect(err).NotTo(HaveOccurred())
+		log.Abandon()
+	})
 })
 
-// syncedDirs records the directories that are synced.
+// syncedDirs records the directories that are synced. Those in denied may not be read.
 type syncedDirs struct {
 	wal.OS
-	dirs []string
+	dirs   []string
+	denied string
 }
 
 func (f *syncedDirs) SyncDir(path string) error {
+	if path == f.denied {
+		return os.ErrPermission
+	}
 	f.dirs = append(f.dirs, path)
 	return f.OS.SyncDir(path)
 }
