--- a/test/crowd/site_test.go
+++ b/test/crowd/site_test.go
@@ -67,7 +67,7 @@
 		entries := []map[string]any{}
 		for _, service := range []string{"app", "lm"} {
 			entries = append(entries, map[string]any{"id": service + "-1", "service": service, "address": target, "zone": "z1",
-				"slots": 1000, "state": "ready", "version": "v1"})
+				"slots": 1000, "state": "ready", "version": "v1", "cold-remaining-ms": 0})
 		}
 		_ = json.NewEncoder(w).Encode(map[string]any{"instances": entries, "next": nil})
 	}))
