entry: the test of continued answers waits for both releases

The spec "have their answers continued by their own software version only" read the second release as soon as the answer had arrived. The fault is the test's.

The spec now waits until both releases have arrived and then checks as before, the number of assignments included.

--- a/entry/fakestate_test.go
+++ b/entry/fakestate_test.go
@@ -353,3 +353,10 @@
 	s.releases = append(s.releases, *r)
 	return nil
 }
+
+// released returns a copy of the releases received so far.
+func (s *fakeScheduler) released() []structs.ReleaseSlot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.releases)
+}
--- a/entry/turn_test.go
+++ b/entry/turn_test.go
@@ -50,11 +50,7 @@
 				} else {
 					Expect(got).To(ContainSubstring(`"content":"Hello"`))
 				}
-				Eventually(func() []structs.ReleaseSlot {
-					b.scheduler.mu.Lock()
-					defer b.scheduler.mu.Unlock()
-					return b.scheduler.releases
-				}).Should(ContainElement(HaveField("Outcome", outcome)))
+				Eventually(b.scheduler.released).Should(ContainElement(HaveField("Outcome", outcome)))
 				Expect(b.scheduler.assigns[1].Exclude).To(Equal([]string{"t1"}))
 			}
 		},
@@ -132,15 +128,19 @@
 			b.startEngine("t3", software, good)
 			b.waitForConfig()
 			_, got := b.chat(body, nil)
-			b.scheduler.mu.Lock()
-			defer b.scheduler.mu.Unlock()
 			if text == "" {
+				b.scheduler.mu.Lock()
+				defer b.scheduler.mu.Unlock()
 				Expect(streamedText(got)).To(Equal("Hel"))
 				Expect(errorOf(got)).To(And(HaveKeyWithValue("code", "target_failed"), HaveKeyWithValue("run", "unknown")))
 				Expect(b.scheduler.assigns).To(HaveLen(1))
 				return
 			}
 			Expect(got).To(ContainSubstring(text))
+			// The slot of an answer that succeeds is released in the background, maybe after the answer.
+			Eventually(b.scheduler.released).Should(HaveLen(2))
+			b.scheduler.mu.Lock()
+			defer b.scheduler.mu.Unlock()
 			Expect(b.scheduler.assigns).To(HaveLen(2))
 			Expect(b.scheduler.releases[1].Target).To(Equal(map[string]string{"v1": "t3", "v2": "t2"}[software]))
 		},
