process: a SIGTERM beside a SIGHUP is not lost

Seen in a test only: a process that gets SIGHUP and SIGTERM at the same time, as after a freeze, may go on as if it had not been asked to stop, and is killed at the end of its grace period with requests in flight.

Cause: all signals shared one channel with room for one, and signal.Notify drops a signal whose channel is full.

Change: the signals that stop the process have a channel and a goroutine of their own; a reload that takes long does not delay the stop. The channels are set up before the settings are read, as a SIGHUP before that ends a Go program.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -59,6 +59,7 @@
 // Main is the main function of a process: it parses the flags, sets up the process, calls
 // run, and exits with status 1 on an error. load reads the settings file at a path.
 func Main(name, settingsPath string, load func(path string) (*settings.Host, error), run func(p *Process) error) {
+	signals := notifySignals()
 	config := flag.String("config", settingsPath, "settings `FILE`")
 	bind := flag.String("bind", "", "listen on this `IP` instead of the host's own")
 	showVersion := flag.Bool("version", false, "print the version and exit")
@@ -67,7 +68,7 @@
 		fmt.Println(name, structs.Version)
 		return
 	}
-	p, err := start(name, func() (*settings.Host, error) { return load(*config) })
+	p, err := start(name, signals, func() (*settings.Host, error) { return load(*config) })
 	if err == nil {
 		p.Host.BindIP = *bind
 		err = run(p)
@@ -79,8 +80,22 @@
 	}
 }
 
+// signalChannels receive the signals of the process. Go drops a signal for which its channel has no room, so those that
+// stop the process have a channel of their own: a SIGTERM must not be lost behind a SIGHUP.
+type signalChannels struct {
+	stop   chan os.Signal
+	reload chan os.Signal
+}
+
+func notifySignals() signalChannels {
+	c := signalChannels{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(c.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(c.reload, syscall.SIGHUP)
+	return c
+}
+
 // start loads the settings and sets up the process.
-func start(name string, load func() (*settings.Host, error)) (*Process, error) {
+func start(name string, signals signalChannels, load func() (*settings.Host, error)) (*Process, error) {
 	host, err := load()
 	if err != nil {
 		return nil, err
@@ -97,29 +112,31 @@
 	}
 	var cancel context.CancelFunc
 	p.StopContext, cancel = context.WithCancel(context.Background())
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	go p.watch(signals, cancel)
+	go p.awaitStop(signals.stop, cancel)
+	go p.watchSettings(signals.reload)
 	p.Log.Info("process started", "version", structs.Version, "zone", host.Zone, "address", host.InternalAddress,
 		"seeds", host.Seeds, "bootstrap", host.Bootstrap, "pid", os.Getpid())
 	return p, nil
 }
 
-// watch calls cancel on SIGTERM or SIGINT, and reloads the settings on SIGHUP and every
-// reloadInterval.
-func (p *Process) watch(signals chan os.Signal, cancel func()) {
+// awaitStop calls cancel on the first signal.
+func (p *Process) awaitStop(signals chan os.Signal, cancel func()) {
+	s := <-signals
+	p.Log.Info("signal received", "signal", s.String())
+	cancel()
+}
+
+// watchSettings reloads the settings on SIGHUP and every reloadInterval until the process stops.
+func (p *Process) watchSettings(signals chan os.Signal) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	seeds := p.Host.Seeds
 	lastTick := clock.Now()
 	for {
 		select {
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				p.Log.Info("signal received", "signal", s.String())
-				cancel()
-				return
-			}
+		case <-p.StopContext.Done():
+			return
+		case <-signals:
 			p.Log.Info("received SIGHUP; reloading settings")
 		case <-ticker.C:
 			lastTick = p.logStall(lastTick)
