process, platform: settings that change take effect, or are reported

Cause: a reload applied the list of seeds only; the controller passed the address to its client once, at the start. The log showed the SIGHUP and no error, the list's stand-in no read at the new address.

Change: each field of the settings file has an effect (at a reload, at a restart, at the site's creation). A reload passes on seeds, cloud-api.address and bounds.grace-s, and reports all other differences by field, in the log and as settings.pending_restart. The list is read at both addresses until the new one has answered. A file is applied once two readings agree; one that is being written, bad, gone or without a field that it had changes nothing. Before, a file cut off after its first lines emptied the list of seeds.

--- a/cmd/figlb-controller/main.go
+++ b/cmd/figlb-controller/main.go
@@ -72,8 +72,10 @@
 			p.Log.Error(err, "failed to close the log")
 		}
 	}()
+	lister := platform.NewTargetListClient(p.Host.TargetsAddress, p.Log, p.Metrics)
+	p.OnReload(func(h *settings.Host) { lister.SetAddress(h.TargetsAddress) })
 	srv := controller.New(controller.Options{
-		Node: r, Document: doc, Ledger: ledger, Lister: platform.NewTargetListClient(p.Host.TargetsAddress, p.Log, p.Metrics),
+		Node: r, Document: doc, Ledger: ledger, Lister: lister,
 		Decode: platform.Adapter{}.DecodeDocument, MinVoters: 2*p.Host.ToleratedLosses + 1,
 		MaxLedgerBytes: int64(p.Host.DiskMB) << 20 * ledgerDiskPercent / 100,
 		Copies:         p.Host.ToleratedLosses + 1, Peers: p.Client, Exposure: p.Host.Exposure, Log: p.Log,
--- a/cmd/figlb-gateway/main.go
+++ b/cmd/figlb-gateway/main.go
@@ -108,7 +108,7 @@
 	start := time.Now()
 	g.BeginShutdown()
 	time.Sleep(unreadyPeriod)
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(p.Host.StopGracePeriod-shutdownMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(p.StopGracePeriod()-shutdownMargin))
 	defer cancel()
 	if err := front.Shutdown(ctx); err != nil {
 		p.Log.Info("grace period ended with requests in flight", "reason", err.Error())
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -44,7 +44,7 @@
 
 // Process is the state that all processes of a site have in common.
 type Process struct {
-	Host    *settings.Host
+	Host    *settings.Host // as read at the start; see OnReload for what may change
 	Log     logr.Logger
 	Metrics metrics.Registry
 	Client  *stateclient.Client
@@ -52,8 +52,8 @@
 	// StopContext is cancelled when SIGTERM or SIGINT asks the process to stop.
 	StopContext context.Context
 
-	load  func() (*settings.Host, error)
-	flush func()
+	reloader *reloader
+	flush    func()
 }
 
 // Main is the main function of a process: it parses the flags, sets up the process, calls
@@ -103,7 +103,7 @@
 	if host.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(host.MemoryMB) << 20 * MemoryLimitPercent / 100)
 	}
-	p := &Process{Host: host, Metrics: metrics.NewRegistry(), load: load}
+	p := &Process{Host: host, Metrics: metrics.NewRegistry()}
 	p.Log, p.flush = telemetry.NewStdoutLogger("info", name, host.Name, p.Metrics)
 	p.Limits = clientlimit.New(host.ClientLimits.WithDefaults(host.MemoryMB, host.MaxFDs, name == controllerName), p.Log, p.Metrics)
 	p.Client, err = stateclient.NewDiscovering(host.Seeds, 1, nil)
@@ -112,6 +112,8 @@
 	}
 	var cancel context.CancelFunc
 	p.StopContext, cancel = context.WithCancel(context.Background())
+	p.reloader = newReloader(host, load, p.Log, p.Metrics)
+	p.OnReload(p.setSeeds())
 	go p.awaitStop(signals.stop, cancel)
 	go p.watchSettings(signals.reload)
 	p.Log.Info("process started", "version", structs.Version, "zone", host.Zone, "address", host.InternalAddress,
@@ -126,11 +128,13 @@
 	cancel()
 }
 
-// watchSettings reloads the settings on SIGHUP and every reloadInterval until the process stops.
+// watchSettings reads the settings again on SIGHUP and every reloadInterval until the process stops.
 func (p *Process) watchSettings(signals chan os.Signal) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
-	seeds := p.Host.Seeds
+	settle := time.NewTimer(reloadInterval)
+	settle.Stop()
+	defer settle.Stop()
 	lastTick := clock.Now()
 	for {
 		select {
@@ -138,10 +142,14 @@
 			return
 		case <-signals:
 			p.Log.Info("received SIGHUP; reloading settings")
+			p.reloader.signalled = true
+		case <-settle.C:
 		case <-ticker.C:
 			lastTick = p.logStall(lastTick)
 		}
-		seeds = p.reload(seeds)
+		if p.reloader.read() {
+			settle.Reset(settleDelay)
+		}
 	}
 }
 
@@ -155,20 +163,22 @@
 	return now
 }
 
-// reload reads the settings and applies a changed list of seeds, which it returns. No other
-// setting is applied to a running process.
-func (p *Process) reload(seeds []string) []string {
-	host, err := p.load()
-	if err != nil {
-		p.Log.Error(err, "cannot reload settings; keeping the previous ones")
-		return seeds
-	}
-	if slices.Equal(host.Seeds, seeds) {
-		return seeds
+// OnReload calls f with the settings in force, and again when one that takes effect at a reload has changed. Calls of f do
+// not overlap.
+func (p *Process) OnReload(f func(*settings.Host)) { p.reloader.subscribe(f) }
+
+// StopGracePeriod returns the time between the signal to stop and the forced termination of the process.
+func (p *Process) StopGracePeriod() time.Duration { return p.reloader.settings().StopGracePeriod }
+
+// setSeeds returns a function that passes a changed list of seeds to the client of the state members.
+func (p *Process) setSeeds() func(*settings.Host) {
+	seeds := p.Host.Seeds
+	return func(h *settings.Host) {
+		if !slices.Equal(h.Seeds, seeds) {
+			seeds = h.Seeds
+			p.Client.SetMembers(seeds)
+		}
 	}
-	p.Log.Info("seeds changed", "seeds", host.Seeds, "before", seeds)
-	p.Client.SetMembers(host.Seeds)
-	return host.Seeds
 }
 
 // StartAdmin starts the endpoint for health, readiness and metrics.
--- a/settings/host.go
+++ b/settings/host.go
@@ -47,6 +47,8 @@
 	// TargetsAddress is the address of the platform's API that lists the targets.
 	TargetsAddress string
 	ClientLimits   ClientLimits
+	// Fields are the fields of the settings file, to tell what a later reading changes.
+	Fields []Field
 }
 
 // Listen returns the address to listen on for clients that connect to addr.
