entry, state: SIGHUP does not end the process

Seen in a test: an operator who changes the settings of figlb-entry or figlb-state and sends SIGHUP ends the process at once, with the requests that it serves.

Cause: neither handled SIGHUP, which ends a Go program by default.

Change: both read the file again at SIGHUP and every 2 s, and log and count what needs a restart (all fields), as the programs of the users' platform do. docs/configuration.md says so.

--- a/cmd/figlb-entry/main.go
+++ b/cmd/figlb-entry/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"os"
@@ -46,6 +47,13 @@
 	defer telemetry.StartTracing(f.Trace, "figlb-entry")()
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	registry := metrics.NewRegistry()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	process.ReportReloads(ctx, f.Fields(), func() ([]settings.Field, error) {
+		again, err := settings.LoadEntry(config)
+		return again.Fields(), err
+	}, log, registry)
 
 	incarnation := entry.NewIncarnation(f.Entry.ID)
 	state, sched, closeState, err := connect(f, incarnation)
@@ -53,7 +61,6 @@
 		return err
 	}
 	defer closeState()
-	registry := metrics.NewRegistry()
 	limits := clientlimit.New(f.Entry.ClientLimits(), log, registry)
 	e := entry.New(entry.Options{
 		Settings: f.Entry, TLS: f.TLS, Incarnation: incarnation,
--- a/cmd/figlb-state/main.go
+++ b/cmd/figlb-state/main.go
@@ -10,8 +10,12 @@
 	"os/signal"
 	"syscall"
 
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/figlb/figlb/internal/process"
 	"github.com/figlb/figlb/settings"
 	"github.com/figlb/figlb/structs"
+	"github.com/figlb/figlb/telemetry"
 )
 
 func main() {
@@ -36,5 +40,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	process.ReportReloads(ctx, file.Fields(), func() ([]settings.Field, error) {
+		again, err := settings.LoadState(config)
+		return again.Fields(), err
+	}, telemetry.NewLogger(file.Log.Level, "figlb-state", file.State.ID), metrics.DefaultRegistry)
 	return run(ctx, file, bootstrap)
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -30,9 +30,6 @@
 const (
 	// MetricsPort is the port on the host's address that serves health, readiness and metrics.
 	MetricsPort = 9464
-	// reloadInterval is the interval at which the settings file is read again, because it may
-	// change without a SIGHUP.
-	reloadInterval = 2 * time.Second
 	// stallThreshold is the delay of a tick above which the process is logged as stalled.
 	stallThreshold = 700 * time.Millisecond
 	// MemoryLimitPercent is the Go runtime's soft memory limit as a percentage of the host's
@@ -115,7 +112,7 @@
 	p.reloader = newReloader(host, load, p.Log, p.Metrics)
 	p.OnReload(p.setSeeds())
 	go p.awaitStop(signals.stop, cancel)
-	go p.watchSettings(signals.reload)
+	go p.reloader.run(p.StopContext, signals.reload, p.stallLogger())
 	p.Log.Info("process started", "version", structs.Version, "zone", host.Zone, "address", host.InternalAddress,
 		"seeds", host.Seeds, "bootstrap", host.Bootstrap, "pid", os.Getpid())
 	return p, nil
@@ -128,39 +125,17 @@
 	cancel()
 }
 
-// watchSettings reads the settings again on SIGHUP and every reloadInterval until the process stops.
-func (p *Process) watchSettings(signals chan os.Signal) {
-	ticker := time.NewTicker(reloadInterval)
-	defer ticker.Stop()
-	settle := time.NewTimer(reloadInterval)
-	settle.Stop()
-	defer settle.Stop()
-	lastTick := clock.Now()
-	for {
-		select {
-		case <-p.StopContext.Done():
-			return
-		case <-signals:
-			p.Log.Info("received SIGHUP; reloading settings")
-			p.reloader.signalled = true
-		case <-settle.C:
-		case <-ticker.C:
-			lastTick = p.logStall(lastTick)
+// stallLogger returns a function to call every reloadInterval. It logs a stall if the call is more than stallThreshold
+// late.
+func (p *Process) stallLogger() func() {
+	last := clock.Now()
+	return func() {
+		now := clock.Now()
+		if stalled := now - last - reloadInterval; stalled > stallThreshold {
+			p.Log.Info("process stalled", "for_ms", stalled.Milliseconds())
 		}
-		if p.reloader.read() {
-			settle.Reset(settleDelay)
-		}
-	}
-}
-
-// logStall logs a stall if the current tick is more than stallThreshold late, counted from
-// lastTick. It returns the time of the current tick.
-func (p *Process) logStall(lastTick time.Duration) time.Duration {
-	now := clock.Now()
-	if stalled := now - lastTick - reloadInterval; stalled > stallThreshold {
-		p.Log.Info("process stalled", "for_ms", stalled.Milliseconds())
+		last = now
 	}
-	return now
 }
 
 // OnReload calls f with the settings in force, and again when one that takes effect at a reload has changed. Calls of f do
--- a/internal/process/reload.go
+++ b/internal/process/reload.go
@@ -1,8 +1,12 @@
 package process
 
 import (
+	"context"
+	"os"
+	"os/signal"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -12,9 +16,14 @@
 	"github.com/figlb/figlb/settings"
 )
 
-// settleDelay is the time for which a changed file has to stay as it is before it is applied. A file that is being
-// written may be readable but lack its end.
-const settleDelay = 200 * time.Millisecond
+const (
+	// reloadInterval is the interval at which the settings file is read again, because it may
+	// change without a SIGHUP.
+	reloadInterval = 2 * time.Second
+	// settleDelay is the time for which a changed file has to stay as it is before it is applied. A file that is being
+	// written may be readable but lack its end.
+	settleDelay = 200 * time.Millisecond
+)
 
 // Names of metrics of the settings file.
 const (
@@ -49,6 +58,42 @@
 	return &reloader{load: load, started: started, current: started, log: log, metrics: registry}
 }
 
+// ReportReloads reads a settings file again at SIGHUP and at an interval until ctx ends, for a process that takes over none
+// of it: it logs and counts the fields that differ from those at the start.
+func ReportReloads(ctx context.Context, started []settings.Field, load func() ([]settings.Field, error), log logr.Logger, registry metrics.Registry) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	loadHost := func() (*settings.Host, error) {
+		fields, err := load()
+		return &settings.Host{Fields: fields}, err
+	}
+	go newReloader(&settings.Host{Fields: started}, loadHost, log, registry).run(ctx, signals, func() {})
+}
+
+// run reads the settings at each signal and every reloadInterval until ctx ends. It calls onTick at each interval.
+func (r *reloader) run(ctx context.Context, signals chan os.Signal, onTick func()) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	settle := time.NewTimer(settleDelay)
+	settle.Stop()
+	defer settle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			r.log.Info("received SIGHUP; reloading settings")
+			r.signalled = true
+		case <-settle.C:
+		case <-ticker.C:
+			onTick()
+		}
+		if r.read() {
+			settle.Reset(settleDelay)
+		}
+	}
+}
+
 // subscribe calls f with the settings in force, and again after each change of a field that takes effect at a reload.
 // Calls of f do not overlap.
 func (r *reloader) subscribe(f func(*settings.Host)) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -99,20 +99,26 @@
 
 // EntryFile is the settings file of figlb-entry.
 type EntryFile struct {
-	Entry Entry
-	TLS   TLS
-	Trace Trace
-	Log   Log
+	Entry Entry `ini:"entry"`
+	TLS   TLS   `ini:"tls"`
+	Trace Trace `ini:"trace"`
+	Log   Log   `ini:"log"`
 }
 
+// Fields lists the fields of the file, all of which need a restart.
+func (f *EntryFile) Fields() []Field { return Fields(*f, "ini", nil) }
+
 // StateFile is the settings file of figlb-state.
 type StateFile struct {
-	State State
-	TLS   TLS
-	Trace Trace
-	Log   Log
+	State State `ini:"state"`
+	TLS   TLS   `ini:"tls"`
+	Trace Trace `ini:"trace"`
+	Log   Log   `ini:"log"`
 }
 
+// Fields lists the fields of the file, all of which need a restart.
+func (f *StateFile) Fields() []Field { return Fields(*f, "ini", nil) }
+
 // Default settings.
 const (
 	DefaultGroups        = 4
