soak: foreign entries, a list that moves, targets that drain and losses of power

Change: disturbList draws these with random numbers of its own, so the sequences of earlier seeds stay. checkDrains demands that a gateway in touch sends nothing to a target 6 s (drain-ms and contact-ms) after the list shows it as draining. Half of the kills of controllers and stores are losses of power: programs built with the tag powerloss keep their data on internal/powerloss and leave at SIGUSR1 what may be found on the disk. Product builds have none of it. Sync of that layer takes over appended bytes without a copy of the file and can sync the real file.

--- a/cmd/figlb-controller/main.go
+++ b/cmd/figlb-controller/main.go
@@ -110,6 +110,7 @@
 		ID: self, Zone: p.Host.Zone, Members: seeds,
 		Discovery: &replica.Discovery{MaxVoters: maxVoters, ReplaceAfter: replaceAfter},
 		DataDir:   p.Host.DataDir,
+		FS:        p.FS,
 		Groups:    map[uint32]replica.StateMachine{fleet.DocumentGroup: doc, fleet.LedgerGroup: ledger},
 		Server:    w,
 		// Only the lowest seed creates the cluster, so that there is never a second one.
--- a/cmd/figlb-store/main.go
+++ b/cmd/figlb-store/main.go
@@ -87,7 +87,7 @@
 		var err error
 		store, err = bodystore.Open(bodystore.Options{
 			Dir: filepath.Join(h.p.Host.DataDir, "store"), Name: h.p.Host.Name,
-			DiskBytes: int64(h.p.Host.DiskMB) << 20, Log: h.p.Log,
+			FS: h.p.FS, DiskBytes: int64(h.p.Host.DiskMB) << 20, Log: h.p.Log,
 		})
 		if err != nil && !failing {
 			failing = true
--- a/internal/powerloss/disk.go
+++ b/internal/powerloss/disk.go
@@ -29,6 +29,8 @@
 	// AfterOperation, if set, is called after each operation that changes the disk or syncs a part of it. It
 	// must not use the disk.
 	AfterOperation func(s *State)
+	// SyncFiles makes Sync sync the real file too, which takes its time.
+	SyncFiles bool
 
 	mu    sync.Mutex
 	state State
@@ -118,6 +120,26 @@
 	return &file{File: f, disk: d, node: n, size: int64(len(n.apply(n.later)))}, nil
 }
 
+// CutPower replaces the files by those that a loss of power may leave. Operations that have not ended never do, and the disk
+// is of no use afterwards. Each name that is not synced is as it is or as it was, at random.
+func (d *Disk) CutPower(rng *rand.Rand) error {
+	d.mu.Lock()
+	after := d.root + ".after"
+	if err := os.RemoveAll(after); err != nil {
+		return err
+	}
+	if err := os.Mkdir(after, dirMode); err != nil {
+		return err
+	}
+	if err := d.state.Restore(after, d.state.Losses(rng, 1)[0], rng); err != nil {
+		return err
+	}
+	if err := os.RemoveAll(d.root); err != nil {
+		return err
+	}
+	return os.Rename(after, d.root)
+}
+
 // Rename implements wal.FS.
 func (d *Disk) Rename(from, to string) error {
 	d.mu.Lock()
@@ -187,15 +209,37 @@
 	return nil
 }
 
-// Sync records the content as durable. It does not sync the real file, which would only take time.
+// Sync records the content that was written before as durable.
 func (f *file) Sync() error {
+	f.disk.mu.Lock()
+	written := len(f.node.later)
+	f.disk.mu.Unlock()
+	if f.disk.SyncFiles {
+		if err := f.File.Sync(); err != nil {
+			return err
+		}
+	}
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
-	f.node.synced, f.node.later = f.node.apply(f.node.later), nil
+	f.node.sync(written)
 	f.disk.done()
 	return nil
 }
 
+// sync applies the first changes to the synced content. Appended bytes leave the content that copies of the node share
+// as it is; other changes copy it.
+func (n *node) sync(changes int) {
+	appended := n.synced
+	for _, c := range n.later[:changes] {
+		if c.data == nil || c.offset != int64(len(appended)) {
+			n.synced, n.later = n.apply(n.later[:changes]), slices.Clone(n.later[changes:])
+			return
+		}
+		appended = append(appended, c.data...)
+	}
+	n.synced, n.later = appended, slices.Clone(n.later[changes:])
+}
+
 // apply returns the content after some changes.
 func (n *node) apply(changes []change) []byte {
 	out := bytes.Clone(n.synced)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -25,6 +25,7 @@
 	"github.com/figlb/figlb/stateclient"
 	"github.com/figlb/figlb/structs"
 	"github.com/figlb/figlb/telemetry"
+	"github.com/figlb/figlb/wal"
 )
 
 const (
@@ -46,6 +47,8 @@
 	Metrics metrics.Registry
 	Client  *stateclient.Client
 	Limits  *clientlimit.Limits // of clients that are not controlled
+	// FS is the file system of the data folder.
+	FS wal.FS
 	// StopContext is cancelled when SIGTERM or SIGINT asks the process to stop.
 	StopContext context.Context
 
@@ -103,6 +106,9 @@
 	p := &Process{Host: host, Metrics: metrics.NewRegistry()}
 	p.Log, p.flush = telemetry.NewStdoutLogger("info", name, host.Name, p.Metrics)
 	p.Limits = clientlimit.New(host.ClientLimits.WithDefaults(host.MemoryMB, host.MaxFDs, name == controllerName), p.Log, p.Metrics)
+	if p.FS, err = openDisk(host.DataDir); err != nil {
+		return nil, err
+	}
 	p.Client, err = stateclient.NewDiscovering(host.Seeds, 1, nil)
 	if err != nil {
 		return nil, err
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -10,7 +10,7 @@
 
 // check compares the results that callers received with the requests that targets ran, and
 // fills in the report.
-func (w *workload) check(report *Report, limits []limitPeriod, evacuations []evacuation, cuts []linkCut) {
+func (w *workload) check(report *Report, limits []limitPeriod, evacuations []evacuation, cuts []linkCut, drains []drain) {
 	w.mu.Lock()
 	attempts := w.attempts
 	w.mu.Unlock()
@@ -27,6 +27,7 @@
 	w.checkBudgets(attempts)
 	w.checkRates(byID)
 	w.checkLeaving(attempts)
+	w.checkDrains(drains, attempts)
 	w.checkLimits(limits, byID)
 	w.checkEvacuations(evacuations, byID)
 	w.checkResumes()
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -71,6 +71,21 @@
 	}
 }
 
+// powerOffTimeout bounds the wait for a process to play the loss of power.
+const powerOffTimeout = 2 * time.Second
+
+// crash kills the process of a host. If the host has a disk, every other time its power is lost: the programs of a test
+// build (tag powerloss) then leave what may be found on the disk afterwards; SIGUSR1 ends others like a kill.
+func (s *site) crash(h *host) {
+	if h.kind != "gateway" && s.power.Intn(2) == 0 {
+		h.process.Signal(syscall.SIGUSR1)
+		for until := time.Now().Add(powerOffTimeout); h.process.Running() && time.Now().Before(until); {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	h.process.Kill()
+}
+
 // killHost kills the process of a random host, and with wipe deletes its data directory. The
 // returned function starts the process again.
 func (s *site) killHost(kind string, wipe bool) func() {
@@ -78,7 +93,7 @@
 	if h == nil {
 		return nil
 	}
-	h.process.Kill()
+	s.crash(h)
 	if wipe {
 		// A failed removal leaves a non-empty directory, which the restarted process sees.
 		_ = os.RemoveAll(h.settings.DataDir)
@@ -125,7 +140,7 @@
 	for _, h := range s.hostsOfKind(kind) {
 		if h.busy.CompareAndSwap(false, true) {
 			h.lastDisturbed.Store(time.Now().UnixNano())
-			h.process.Kill()
+			s.crash(h)
 			taken = append(taken, h)
 		}
 	}
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -68,6 +68,9 @@
 	// uploadSeed and buildSeed do the same for runUploads and replaceBuilds.
 	uploadSeed = 0x75706c64
 	buildSeed  = 0x6275696c64
+	// listSeed and powerSeed do the same for disturbList and crash.
+	listSeed  = 0x6c697374
+	powerSeed = 0x706f776572
 	// draftClientCount is the number of callers with streams that they resume.
 	draftClientCount = 4
 	// longClientCount is the number of callers with long turns.
@@ -127,12 +130,15 @@
 	var limits []limitPeriod
 	var evacuations []evacuation
 	var cuts []linkCut
+	var drains []drain
 	var disturbing sync.WaitGroup
 	disturbing.Go(func() { limits = s.limitTargets(faultCtx, rand.New(rand.NewSource(opts.Seed^limitSeed))) })
 	disturbing.Go(func() { evacuations = w.orderZones(faultCtx, rand.New(rand.NewSource(opts.Seed^zoneSeed))) })
 	disturbing.Go(func() { s.disturbAnswers(faultCtx, rand.New(rand.NewSource(opts.Seed^answerSeed))) })
 	disturbing.Go(func() { cuts = s.disturbGateways(faultCtx, rand.New(rand.NewSource(opts.Seed^linkSeed))) })
-	if opts.OldBin != "" {
+	if opts.OldBin == "" { // earlier builds do not follow a list that moves
+		disturbing.Go(func() { drains = s.disturbList(faultCtx, rand.New(rand.NewSource(opts.Seed^listSeed))) })
+	} else {
 		disturbing.Go(func() { s.replaceBuilds(faultCtx, bin, rand.New(rand.NewSource(opts.Seed^buildSeed))) })
 	}
 	s.injectFaults(time.Now().Add(opts.FaultDuration), func(f string) { report.Faults = append(report.Faults, f) })
@@ -141,7 +147,7 @@
 	w.checkRecovery()
 	cancel()
 	wg.Wait()
-	w.check(report, limits, evacuations, cuts)
+	w.check(report, limits, evacuations, cuts, drains)
 	for _, h := range s.hostsOfKind("gateway") {
 		report.ToStores += strings.Count(h.process.Stdout(), `"msg":"storage of turns on store hosts changed"`)
 	}
--- a/test/soak/site.go
+++ b/test/soak/site.go
@@ -68,7 +68,8 @@
 	listAddr     string
 	log          standin.RunLog
 	rng          *rand.Rand
-	upgrading    bool // some hosts run the production build
+	power        *rand.Rand // of crash
+	upgrading    bool       // some hosts run the production build
 
 	mu             sync.Mutex
 	targets        []*standin.Target
@@ -76,7 +77,7 @@
 }
 
 func newSite(bin, dir string, seed int64, rng *rand.Rand) (*site, error) {
-	s := &site{dir: dir, bin: bin, rng: rng}
+	s := &site{dir: dir, bin: bin, rng: rng, power: rand.New(rand.NewSource(seed ^ powerSeed))}
 	var err error
 	if s.network, s.networkClaim, err = claimNetwork(seed); err != nil {
 		return nil, err
@@ -200,7 +201,7 @@
 }
 
 func (s *site) writeConfig(h *host) error {
-	return errors.WithStack(os.WriteFile(h.configFile, []byte(h.settings.Text()), 0o600))
+	return errors.WithStack(writeFile(h.configFile, h.settings.Text()))
 }
 
 func (s *site) startAll() error {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -109,10 +109,11 @@
 	return root
 }
 
-// buildPrograms builds the gateway and the controller from a source tree and returns their directory.
+// buildPrograms builds the programs of the users' platform from a source tree, with a file layer that plays the loss of power
+// where the tree has it, and returns their directory.
 func buildPrograms(t *testing.T, source string) (bin string) {
 	bin = t.TempDir()
-	build := exec.Command("go", "build", "-o", bin, "./cmd/figlb-gateway", "./cmd/figlb-controller", "./cmd/figlb-store")
+	build := exec.Command("go", "build", "-tags", "powerloss", "-o", bin, "./cmd/figlb-gateway", "./cmd/figlb-controller", "./cmd/figlb-store")
 	build.Dir = source
 	out, err := build.CombinedOutput()
 	NewWithT(t).Expect(err).NotTo(HaveOccurred(), string(out))
--- a/test/soak/workload.go
+++ b/test/soak/workload.go
@@ -44,6 +44,8 @@
 	gateway *host // receives the request
 	// mustBeServed is set if the faults are no reason for the gateway not to serve the request.
 	mustBeServed bool
+	// inTouch is set if the gateway must know which targets are draining.
+	inTouch bool
 	// history is the conversation so far, which the target must receive before the body. It is
 	// set for turns only.
 	history string
@@ -96,6 +98,7 @@
 	a.gateway = h
 	a.result = c.Do(context.Background(), h.address(standin.FrontPort), &a.call)
 	a.mustBeServed = w.site.mustServe(h, a.result.Sent)
+	a.inTouch = w.site.inTouch(h, a.result.Sent)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.attempts = append(w.attempts, a)
