process: a settings file that is being written does not keep a process from starting

Seen in a test: a process whose settings file can't be decoded at the moment of its start exits. Whoever starts it beside a write of the file sees a process that ends by itself.

Cause: the file was read once at the start; only a running process kept its settings.

Change: at the start the file is read again every 0.1 s for 2 s before the process exits with the reason. A bad file is thus reported 2 s later than before; a good one costs nothing.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -33,6 +33,10 @@
 	MetricsPort = 9464
 	// stallThreshold is the delay of a tick above which the process is logged as stalled.
 	stallThreshold = 700 * time.Millisecond
+	// startWait is the time in which the settings file must become usable at the start: it may be in the middle of being
+	// written. startRetryInterval is the pause before each further reading.
+	startWait          = 2 * time.Second
+	startRetryInterval = 100 * time.Millisecond
 	// MemoryLimitPercent is the Go runtime's soft memory limit as a percentage of the host's
 	// memory. Near the limit the garbage collector runs more often.
 	MemoryLimitPercent = 70
@@ -96,7 +100,7 @@
 
 // start loads the settings and sets up the process.
 func start(name string, signals signalChannels, load func() (*settings.Host, error)) (*Process, error) {
-	host, err := load()
+	host, err := loadAtStart(load)
 	if err != nil {
 		return nil, err
 	}
@@ -124,6 +128,16 @@
 	return p, nil
 }
 
+// loadAtStart reads the settings, and tries again for startWait if they can't be used.
+func loadAtStart(load func() (*settings.Host, error)) (*settings.Host, error) {
+	for deadline := clock.Now() + startWait; ; time.Sleep(startRetryInterval) {
+		host, err := load()
+		if err == nil || clock.Now() >= deadline {
+			return host, err
+		}
+	}
+}
+
 // awaitStop calls cancel on the first signal.
 func (p *Process) awaitStop(signals chan os.Signal, cancel func()) {
 	s := <-signals
