gateway/upstream: a connection with an upload that is not read is not reused

Cause: a connection was reused once the upload had been written. The operating system takes 4 MB in 0.5 ms, mostly in the send buffer, so that this says nothing about the target; the next request waits behind the upload. The target's log has no new connection for the request that fails.

TestConnectionOfAnEarlyResponseIsNotReused fails before.

--- a/gateway/upstream/conn.go
+++ b/gateway/upstream/conn.go
@@ -75,6 +75,9 @@
 	reused    bool           // the connection has carried a request before
 	target    string         // address
 	relay     string         // address of the gateway through which the connection leads; empty: it is direct
+	upload    *upload        // of the current request; nil before the first one
+	// early is set if the last response began before its request had been written.
+	early bool
 	// activeAt is the clock time at which the last request was sent or the last bytes were read.
 	activeAt atomic.Int64
 	// awaitsRepeatable is set while a repeatable request waits for its response.
@@ -185,6 +188,7 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
+	c.early = c.upload != nil && !c.upload.ended()
 	defer c.limitReads(maxHeadBytes)()
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
--- a/gateway/upstream/early_response_test.go
+++ b/gateway/upstream/early_response_test.go
@@ -97,3 +97,32 @@
 	_, err := readUpload(addr, 100)
 	g.Expect(err).NotTo(HaveOccurred())
 }
+
+// Guards against the reuse of a connection on which the target has answered before the upload was written, though the
+// upload ends later: the kernel may hold the rest for a target that does not read, and the next request waits behind it.
+func TestConnectionOfAnEarlyResponseIsNotReused(t *testing.T) {
+	g := NewWithT(t)
+	read := make(chan struct{})
+	addr := earlyServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n", func(_ *net.TCPConn, r *bufio.Reader) {
+		<-read
+		_, _ = io.Copy(io.Discard, r)
+	})
+	p := NewPool(addr, func() int { return 2 }, NewLinks(LinksOptions{}))
+	defer p.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	request := &Request{Method: "POST", Path: "/", Host: "h", Body: make([]byte, 4<<20)}
+	resp, err := p.Do(ctx, request)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Consistently(resp.upload.ended, 50*time.Millisecond).Should(BeFalse(), "the target has not read it")
+	close(read)
+	_, err = io.Copy(io.Discard, resp.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	<-resp.upload.done
+	g.Expect(resp.upload.err).NotTo(HaveOccurred())
+	resp.Finish(true)
+	resp, err = p.Do(ctx, request)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Finish(false)
+	g.Expect(resp.conn.reused).To(BeFalse())
+}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -179,8 +179,9 @@
 	a.finished = true
 	active := a.stop()
 	idle := time.Duration(0)
-	// An upload that is not done means that the target responded before it had read the whole request.
-	if a.upload.succeeded() && bodyRead && active {
+	// A target that has responded before the request was written may not read it soon, even if the operating system has
+	// taken the rest since then: the next request would wait behind it.
+	if !a.conn.early && a.upload.succeeded() && bodyRead && active {
 		idle = reuseTime(a.Response)
 	}
 	a.pool.links.end(a.conn)
@@ -235,21 +236,25 @@
 	err  error
 }
 
-// succeeded reports whether the whole request has been written.
-func (u *upload) succeeded() bool {
+// ended reports whether the request has been written, or its write has failed.
+func (u *upload) ended() bool {
 	select {
 	case <-u.done:
-		return u.err == nil
+		return true
 	default:
 		return false
 	}
 }
 
+// succeeded reports whether the whole request has been written.
+func (u *upload) succeeded() bool { return u.ended() && u.err == nil }
+
 // send writes a request, a long one concurrently, because the target may respond before it has read
 // all of it. A failed write is not reported by itself: either no response can be read, or the target
 // responded early, and Finish closes the connection.
 func (c *conn) send(req *Request) *upload {
 	u := &upload{done: make(chan struct{})}
+	c.upload = u
 	head := encodeHead(req)
 	write := func() {
 		u.err = c.write(head, req.Body)
