gateway/upstream: the bound of the send buffer holds for tunnels too

A tunnel's connection from the relay to the target is dialled in the same place, so that an upload through another gateway is not taken for written either. go test -race ./gateway/upstream passes.

--- a/gateway/upstream/links.go
+++ b/gateway/upstream/links.go
@@ -157,23 +157,11 @@
 	delete(l.inUse, c)
 }
 
-// writeBufferBytes is what the operating system may keep of a request. Without this bound it may keep 4 MB of it, and a
-// request that a target does not read seems to be written.
-const writeBufferBytes = 512 << 10
-
-// boundWriteBuffer sets the write buffer of a connection.
-func boundWriteBuffer(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetWriteBuffer(writeBufferBytes) // fails on a closed connection, as will the write
-	}
-}
-
 // dial opens a connection to a target, through a relay while this host is cut off.
 func (l *Links) dial(ctx context.Context, addr string) (*conn, error) {
 	if !l.CutOff() {
 		c, err := l.DialDirect(ctx, addr, dialTimeout)
 		if err == nil {
-			boundWriteBuffer(c)
 			return newConn(c, l, addr, ""), nil
 		}
 		if !l.recordFailedDial(ctx, addr) {
@@ -194,10 +182,22 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
+	boundWriteBuffer(c)
 	l.recordDial()
 	return c, nil
 }
 
+// writeBufferBytes is what the operating system may keep of a request. Without this bound it may keep 4 MB of it, and a
+// request that a target does not read seems to be written.
+const writeBufferBytes = 512 << 10
+
+// boundWriteBuffer sets the write buffer of a connection.
+func boundWriteBuffer(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(writeBufferBytes) // fails on a closed connection, as will the write
+	}
+}
+
 // keepAlive ends a connection whose peer has gone silent.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount}
 
