soak: files in memory, and syncs of the test build that take up to 10 ms

It loses nothing: a kill loses no write, synced or not, and what is not synced is lost by internal/powerloss, which test builds run on. That layer no longer syncs the real file and takes up to 10 ms for a sync instead. No check and no bound is changed.

--- a/internal/powerloss/disk.go
+++ b/internal/powerloss/disk.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/figlb/figlb/wal"
 )
@@ -29,8 +30,8 @@
 	// AfterOperation, if set, is called after each operation that changes the disk or syncs a part of it. It
 	// must not use the disk.
 	AfterOperation func(s *State)
-	// SyncFiles makes Sync sync the real file too, which takes its time.
-	SyncFiles bool
+	// SyncTime, if set, returns how long the next sync of a file takes. It is called concurrently.
+	SyncTime func() time.Duration
 
 	mu    sync.Mutex
 	state State
@@ -209,15 +210,13 @@
 	return nil
 }
 
-// Sync records the content that was written before as durable.
+// Sync records the content that was written before as durable. It does not sync the real file.
 func (f *file) Sync() error {
 	f.disk.mu.Lock()
 	written := len(f.node.later)
 	f.disk.mu.Unlock()
-	if f.disk.SyncFiles {
-		if err := f.File.Sync(); err != nil {
-			return err
-		}
+	if f.disk.SyncTime != nil {
+		time.Sleep(f.disk.SyncTime())
 	}
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
--- a/internal/process/disk_powerloss.go
+++ b/internal/process/disk_powerloss.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -15,8 +16,12 @@
 	"github.com/figlb/figlb/wal"
 )
 
-// dataDirMode is the mode of a data folder that does not exist yet.
-const dataDirMode = 0o755
+const (
+	// dataDirMode is the mode of a data folder that does not exist yet.
+	dataDirMode = 0o755
+	// maxSyncTime is the longest time of a sync. The time limits of the soak assume disks that sync within it.
+	maxSyncTime = 10 * time.Millisecond
+)
 
 // openDisk returns a file system for the data folder that knows what has been synced. At SIGUSR1 the host loses its power:
 // the process ends and leaves what may be found on the disk afterwards. It is part of test builds only.
@@ -31,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	disk.SyncFiles = true
+	disk.SyncTime = func() time.Duration { return time.Duration(rand.Int64N(int64(maxSyncTime))) }
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGUSR1)
 	go func() {
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/figlb/figlb/internal/testsite"
 	"github.com/figlb/figlb/platform/standin"
 )
 
@@ -79,9 +80,9 @@
 
 // Run starts a site, injects the faults of one seed under load and checks the guarantees.
 func Run(opts Options) (*Report, error) {
-	dir, err := os.MkdirTemp("", "figlb-soak-")
+	dir, err := testsite.MakeTempDir("figlb-soak-")
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return nil, err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	bin, err := filepath.Abs(opts.Bin)
